--- /dev/null
+++ b/src/main/java/linenring/plan/Orders.java
@@ -0,0 +1,47 @@
+package linenring.plan;
+
+/**
+ * What the decisions call to give orders. All orders of one input take effect together: each proxy concerned
+ * gets them as one message, in the order given. Hosts, proxies, tables and operations are small indices; times
+ * are milliseconds on the clock that the inputs carry.
+ */
+public interface Orders {
+    /** A table number that stands for all proxies, in {@link #level} alone. */
+    int EVERY_TABLE = -1;
+
+    /** Sets one line of a table; weight 0 takes it out. */
+    void line(int table, int host, double weight);
+
+    /** Takes all lines and levels out of a table. */
+    void wipe(int table);
+
+    /** Shuts a host out of every table that joined proxies hold, or lets it back in. */
+    void withdraw(int host, boolean out);
+
+    /** Puts a proxy on a table for the operations in the mask (bit k for operation k; 0 for all). */
+    void bind(int table, int operations, int proxy);
+
+    /** Sets how much of the operations is let in, and how proxies try again. */
+    void level(int table, int operations, double letIn, FurtherTries tries);
+
+    /** Asks each proxy that gets a message of this input to answer with this mark once it has applied it. */
+    void barrier(int mark, boolean everyProxy);
+
+    /** Asks a host for a sign of life. */
+    void probe(int host);
+
+    /** Asks for a call of {@code alarm} at that time. */
+    void alarm(double at, long handle);
+
+    /** Asks for the whole list once. */
+    void askList();
+
+    /** Asks to be kept told of changes to the list. */
+    void followList();
+
+    /** Leaves a line for the staff. */
+    void note(String words);
+
+    /** When a proxy sends an invocation to another host. */
+    enum FurtherTries { NONE, ONE_ON_PROOF, ONE, TWO }
+}
--- /dev/null
+++ b/src/main/java/linenring/wirehost/Steward.java
@@ -0,0 +1,119 @@
+package linenring.wirehost;
+
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import linenring.plan.Balance;
+import linenring.plan.Orders;
+
+/** One instance: its decisions, its own numbering of the hosts, and the orders it has given in this reply. */
+final class Steward implements Orders {
+    private static final int WIRE_EVERY_TABLE = 65535;
+
+    final int id;
+    Balance balance;
+    /** It has had an event in this batch, and may act. */
+    boolean told;
+    final StringBuilder orders = new StringBuilder();
+    private final Map<String, Integer> hosts = new HashMap<>();
+    private final List<String> words = new ArrayList<>();
+
+    Steward(int id) {
+        this.id = id;
+    }
+
+    /** The index of a host's word; new words get the next one, so it depends on this instance's events alone. */
+    int host(String word) {
+        Integer known = hosts.get(word);
+        if (known == null) {
+            known = words.size();
+            hosts.put(word, known);
+            words.add(word);
+        }
+        return known;
+    }
+
+    void forgetHosts() {
+        hosts.clear();
+        words.clear();
+    }
+
+    private StringBuilder order(String name) {
+        return orders.append(name).append(" StewardId=").append(id);
+    }
+
+    private static String figure(double value) {
+        return value == Math.rint(value) && value < 1e9 ? Long.toString((long) value)
+                : Double.toString(Math.round(value * 1e4) / 1e4);
+    }
+
+    @Override
+    public void line(int table, int host, double weight) {
+        order("set_line").append(" Sheet=").append(table).append(" Host=").append(words.get(host))
+                .append(" Heft=").append(figure(weight)).append('\n');
+    }
+
+    @Override
+    public void wipe(int table) {
+        order("wipe").append(" Sheet=").append(table).append('\n');
+    }
+
+    @Override
+    public void withdraw(int host, boolean out) {
+        order("cordon").append(" Host=").append(words.get(host)).append(" Flag=").append(out ? 1 : 0).append('\n');
+    }
+
+    @Override
+    public void bind(int table, int operations, int proxy) {
+        order("subscribe_to").append(" Sheet=").append(table).append(" Mask=").append(operations)
+                .append(" Sidecar=").append(proxy).append('\n');
+    }
+
+    @Override
+    public void level(int table, int operations, double letIn, FurtherTries tries) {
+        order("level").append(" Sheet=").append(table == EVERY_TABLE ? WIRE_EVERY_TABLE : table)
+                .append(" Mask=").append(operations).append(" Level=").append(figure(letIn))
+                .append(" OnFailure=").append(tries.ordinal()).append('\n');
+    }
+
+    @Override
+    public void barrier(int mark, boolean everyProxy) {
+        order("stamp").append(" Rev=").append(mark).append(" Flag=").append(everyProxy ? 1 : 0).append('\n');
+    }
+
+    @Override
+    public void probe(int host) {
+        order("test").append(" Host=").append(words.get(host)).append('\n');
+    }
+
+    @Override
+    public void alarm(double at, long handle) {
+        order("set_alarm").append(" Time=").append(Math.round(at * 1000)).append(" Handle=").append(handle)
+                .append('\n');
+    }
+
+    @Override
+    public void askList() {
+        order("get_list").append('\n');
+    }
+
+    @Override
+    public void followList() {
+        order("keep_informed").append(" Flag=1\n");
+    }
+
+    @Override
+    public void note(String text) {
+        order("write_log").append(" Words=").append(plain(text)).append('\n');
+    }
+
+    void broken(String cause) {
+        orders.setLength(0);
+        order("broken").append(" Words=").append(plain(cause)).append('\n');
+    }
+
+    private static String plain(String text) {
+        return text.replace('\n', ' ').replace('\r', ' ');
+    }
+}
--- /dev/null
+++ b/src/main/java/linenring/wirehost/WireHost.java
@@ -0,0 +1,216 @@
+package linenring.wirehost;
+
+import java.io.BufferedReader;
+import java.io.IOException;
+import java.io.InputStream;
+import java.io.InputStreamReader;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import linenring.plan.Balance;
+
+/** Hosts instances of the decisions on the simulator's wire: reads a batch, calls them, writes what they order. */
+public final class WireHost {
+    /** One host's entry of a numbered list, kept until a newer list takes the number. */
+    private record Entry(String host, double weight, int zone, int kind, double started, String mode) {
+    }
+
+    private final BufferedReader in;
+    private final OutputStream out;
+    private final WireLine line = new WireLine();
+    private final Map<Integer, Steward> stewards = new TreeMap<>();
+    private final Map<Integer, List<Entry>> banks = new HashMap<>();
+    private final List<Steward> told = new ArrayList<>();
+    private long lines;
+    private double now;
+
+    private WireHost(InputStream in, OutputStream out) {
+        this.in = new BufferedReader(new InputStreamReader(in, StandardCharsets.UTF_8), 1 << 16);
+        this.out = out;
+    }
+
+    /** Serves until the input ends; returns the exit code. */
+    public static int run(InputStream in, PrintStream out, PrintStream err) throws IOException {
+        try {
+            WireHost host = new WireHost(in, out);
+            while (host.batch()) {
+                out.flush();
+            }
+            return 0;
+        } catch (BadInput e) {
+            err.println("linenring: " + e.getMessage());
+            return 1;
+        }
+    }
+
+    private boolean next() throws IOException {
+        String text = in.readLine();
+        lines++;
+        if (text == null) {
+            return false;
+        }
+        if (text.endsWith("\r")) {
+            text = text.substring(0, text.length() - 1);
+        }
+        line.read(text, lines);
+        return true;
+    }
+
+    private boolean batch() throws IOException {
+        do {
+            if (!next()) {
+                return false;
+            }
+        } while (line.name.isEmpty());
+        if (!line.name.equals("batch")) {
+            throw line.bad("expected a batch");
+        }
+        now = line.millis("Now");
+        while (true) {
+            if (!next()) {
+                throw new BadInput(lines, "the input ends inside a batch");
+            }
+            if (line.name.equals("eob")) {
+                break;
+            }
+            if (!line.name.isEmpty()) {
+                event();
+            }
+        }
+        StringBuilder reply = new StringBuilder();
+        for (Steward steward : told) {
+            if (steward.balance != null) {
+                decide(steward, steward.balance::settle);
+            }
+            reply.append(steward.orders);
+            steward.orders.setLength(0);
+            steward.told = false;
+        }
+        told.clear();
+        out.write(reply.append("next\n").toString().getBytes(StandardCharsets.UTF_8));
+        return true;
+    }
+
+    /** Calls into the decisions; whatever fails there is told on the wire with its cause. */
+    private void decide(Steward steward, Runnable call) {
+        try {
+            call.run();
+        } catch (BadInput e) {
+            throw e;
+        } catch (RuntimeException e) {
+            StackTraceElement[] trace = e.getStackTrace();
+            steward.broken(e + (trace.length > 0 ? " at " + trace[0] : ""));
+            steward.balance = null;
+        }
+    }
+
+    private void event() throws IOException {
+        if (line.name.equals("catalog")) {
+            catalog();
+            return;
+        }
+        int id = line.index("StewardId");
+        Steward steward = stewards.get(id);
+        if (line.name.equals("provision")) {
+            if (steward == null) {
+                steward = new Steward(id);
+                stewards.put(id, steward);
+            }
+            Steward fresh = steward;
+            fresh.forgetHosts();
+            fresh.orders.setLength(0);
+            fresh.balance = new Balance(StartReader.read(line), fresh);
+        }
+        if (steward == null) {
+            throw line.bad("field StewardId: instance " + id + " was never started");
+        }
+        if (!steward.told) {
+            steward.told = true;
+            told.add(steward);
+        }
+        if (line.name.equals("crash_now")) {
+            steward.balance = null;
+            steward.orders.setLength(0);
+        } else if (steward.balance != null) {
+            Steward one = steward;
+            decide(one, () -> one.balance.clock(now));
+            decide(one, () -> call(one, one.balance));
+        }
+    }
+
+    private void call(Steward steward, Balance balance) {
+        if (balance == null) {
+            return;
+        }
+        switch (line.name) {
+            case "provision" -> { }
+            case "registry" -> registry(steward, balance);
+            case "joined" -> balance.joined(line.index("Sidecar"), line.index("Dc", 0));
+            case "lost_stream" -> balance.lost(line.index("Sidecar"));
+            case "in_force" -> balance.inForce(line.index("Sidecar"), line.index("Rev"), line.millis("Rtt", 0));
+            case "tally" -> balance.tally(steward.host(line.text("Host")), line.index("Dc", 0),
+                    line.index("Total"), line.index("Bad", 0), line.millis("Rtt", 0));
+            case "traffic" -> balance.traffic(line.index("Sidecar"), line.index("Qos"), line.millis("Elapsed", 0),
+                    line.index("Total"));
+            case "mandate" -> balance.charge(line.index("Sheet"), line.flag("Flag"));
+            case "held" -> balance.held(line.index("Sheet"), steward.host(line.text("Host")),
+                    line.number("Heft", 1));
+            case "elapsed" -> balance.alarm();
+            case "key_load", "check_result", "heard" -> { } // no decision asks for these yet
+            default -> throw line.bad("unknown message");
+        }
+    }
+
+    private void registry(Steward steward, Balance balance) {
+        String scope = line.text("Scope");
+        if (scope.equals("broken")) {
+            balance.listFailed();
+            return;
+        }
+        if (!scope.equals("patch") && !scope.equals("whole") && !scope.equals("stale_copy")) {
+            throw line.bad("field Scope: '" + scope + "' is not known");
+        }
+        int bank = line.index("Bank");
+        List<Entry> entries = banks.get(bank);
+        if (entries == null) {
+            throw line.bad("field Bank: no list " + bank + " has come");
+        }
+        balance.listOpens(!scope.equals("patch"));
+        for (Entry entry : entries) {
+            int host = steward.host(entry.host);
+            switch (entry.mode) {
+                case "Running" -> balance.running(host, entry.zone, entry.kind, entry.weight, entry.started);
+                case "Stopping" -> balance.stopping(host, entry.zone, entry.kind, entry.weight);
+                default -> balance.gone(host);
+            }
+        }
+        balance.listCloses();
+    }
+
+    private void catalog() throws IOException {
+        int bank = line.index("Bank");
+        int items = line.index("Items");
+        List<Entry> entries = new ArrayList<>();
+        for (int i = 0; i < items; i++) {
+            if (!next()) {
+                throw new BadInput(lines, "the input ends inside a list");
+            }
+            if (!line.name.equals("entry")) {
+                throw line.bad("expected an entry");
+            }
+            String mode = line.text("Mode");
+            if (!mode.equals("Running") && !mode.equals("Stopping") && !mode.equals("Deleted")) {
+                throw line.bad("field Mode: '" + mode + "' is not known");
+            }
+            double started = line.millis("StartTime", 0);
+            entries.add(new Entry(line.text("Host"), line.number("Heft", 1), line.index("Dc", 0), line.index("Model", 0),
+                    started == 0 ? Double.NEGATIVE_INFINITY : started, mode));
+        }
+        banks.put(bank, entries);
+    }
+}
--- /dev/null
+++ b/src/test/java/linenring/plan/BalanceTest.java
@@ -0,0 +1,231 @@
+package linenring.plan;
+
+import static linenring.plan.FakeHost.ALL;
+import static linenring.plan.FakeHost.figures;
+import static linenring.plan.FakeHost.operation;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.Set;
+import linenring.plan.Orders.FurtherTries;
+import linenring.plan.StartFigures.Effect;
+import linenring.plan.StartFigures.Sharing;
+import org.junit.jupiter.api.Test;
+
+class BalanceTest {
+    private static final Set<Integer> NONE = Set.of();
+
+    @Test
+    void allProxiesShareOneTableOfAllHosts() {
+        FakeHost f = new FakeHost(figures(0)).fleet(6, 5);
+        assertEquals(1, Set.copyOf(f.bound.values()).size());
+        assertEquals(6, f.tables.get(f.bound.get(0)).size());
+    }
+
+    @Test
+    void changesThatComeWhileASubUpdateIsOutMergeIntoOneMessage() {
+        FakeHost f = new FakeHost(figures(0)).fleet(6, 2);
+        int before = f.barriers;
+        f.starts(6);
+        f.settle();
+        f.starts(7);
+        f.settle();
+        f.starts(8);
+        f.settle();
+        assertEquals(before, f.barriers); // the first bind was less than a round trip ago: all three wait
+        f.pass(300);
+        assertEquals(before + 1, f.barriers);
+        assertTrue(f.weight(0, 6) > 0 && f.weight(0, 7) > 0 && f.weight(0, 8) > 0);
+    }
+
+    @Test
+    void aDrainGoesPastFullWindows() {
+        FakeHost f = new FakeHost(figures(0)).fleet(6, 2);
+        f.silent.addAll(Set.of(0, 1));
+        for (int h = 0; h < 3; h++) {
+            f.drains(h);
+            f.settle();
+            assertTrue(f.out.contains(h));
+        }
+    }
+
+    @Test
+    void aHostDroppedFromAWholeListIsWithdrawn() {
+        FakeHost f = new FakeHost(figures(0)).fleet(6, 2);
+        f.balance.listOpens(true);
+        for (int h = 0; h < 5; h++) {
+            f.balance.running(h, h % 2, 0, 1, Double.NEGATIVE_INFINITY);
+        }
+        f.balance.listCloses();
+        f.settle();
+        assertEquals(Set.of(5), f.out);
+    }
+
+    @Test
+    void aDrainedHostThatReturnsComesBackWithTheWeightOfAColdOne() {
+        FakeHost f = new FakeHost(figures(0)).fleet(6, 2);
+        f.drains(0);
+        f.settle();
+        f.pass(3000);
+        f.starts(0);
+        f.settle();
+        f.pass(1000);
+        assertFalse(f.out.contains(0));
+        assertTrue(f.weight(0, 0) > 0 && f.weight(0, 0) < 0.4);
+        f.pass(12_000);
+        assertEquals(1, f.weight(0, 0));
+    }
+
+    @Test
+    void aHostThatRestartsUnseenLosesItsFullWeightAtOnce() {
+        FakeHost f = new FakeHost(figures(0)).fleet(6, 2);
+        f.silent.addAll(Set.of(0, 1));
+        f.starts(3);
+        f.settle();
+        assertTrue(f.weight(0, 3) <= 0.2);
+    }
+
+    @Test
+    void manyColdHostsAtOnceGetLessEach() {
+        FakeHost one = new FakeHost(figures(0)).fleet(6, 2);
+        one.starts(0);
+        one.settle();
+        FakeHost many = new FakeHost(figures(0)).fleet(6, 2);
+        for (int h = 0; h < 4; h++) {
+            many.starts(h);
+        }
+        many.settle();
+        assertTrue(many.weight(0, 0) < 0.7 * one.weight(0, 0));
+    }
+
+    @Test
+    void anOperationConfinedToAZoneHasATableOfThatZoneAlone() {
+        FakeHost f = new FakeHost(figures(0, operation(Effect.IDEMPOTENT, Sharing.ALL, 0, 1, ALL),
+                operation(Effect.SIDE_EFFECTING, Sharing.ALL, 0, 3, 1))).fleet(6, 3);
+        assertEquals(2, f.tables.size());
+        assertEquals(Set.of(0, 2, 4), f.tables.get(f.bound.get(0)).keySet());
+    }
+
+    @Test
+    void onlyWhatMayRunTwiceIsTriedAgainWithoutProof() {
+        FakeHost f = new FakeHost(figures(0, operation(Effect.IDEMPOTENT, Sharing.ALL, 0, 1, ALL),
+                operation(Effect.SIDE_EFFECTING, Sharing.ALL, 9000, 1, ALL),
+                operation(Effect.FINGERPRINTED, Sharing.ZONE, 9000, 1, ALL),
+                operation(Effect.FINGERPRINTED, Sharing.ALL, 900, 1, ALL),
+                operation(Effect.FINGERPRINTED, Sharing.ALL, 9000, 1, ALL))).fleet(4, 1);
+        assertEquals(FurtherTries.ONE, f.tries.get(1));
+        assertEquals(FurtherTries.ONE_ON_PROOF, f.tries.get(2));
+        assertEquals(FurtherTries.ONE_ON_PROOF, f.tries.get(4));
+        assertEquals(FurtherTries.ONE_ON_PROOF, f.tries.get(8));
+        assertEquals(FurtherTries.ONE, f.tries.get(16));
+    }
+
+    @Test
+    void aFrozenProxyDoesNotHoldTheBatchForTheRest() {
+        FakeHost f = new FakeHost(figures(0)).fleet(6, 3);
+        f.silent.add(2);
+        f.starts(6);
+        f.pass(12_000); // its ramp alone fills a window of five
+        assertEquals(1, f.weight(0, 6));
+    }
+
+    @Test
+    void aLostStreamFreesItsWindowAndTheProxyIsBoundAnewWhenItComesBack() {
+        FakeHost f = new FakeHost(figures(0)).fleet(6, 2);
+        f.balance.lost(1);
+        f.bound.remove(1);
+        f.settle();
+        f.drains(0);
+        f.pass(500);
+        f.join(1);
+        f.settle();
+        assertEquals(f.bound.get(0), f.bound.get(1));
+        assertEquals(0, f.weight(1, 0));
+    }
+
+    @Test
+    void messagesToOneProxyStayUnderTheCapWithRoomForWithdrawals() {
+        FakeHost f = new FakeHost(figures(10)).fleet(12, 2);
+        f.starts(0);
+        f.starts(1);
+        f.pass(2000);
+        f.starts(2);
+        f.pass(3000);
+        assertTrue(f.barriers <= 7);
+        f.drains(5);
+        f.settle();
+        assertTrue(f.out.contains(5));
+    }
+
+    @Test
+    void aFailingHostIsWithdrawnAndTriedAgainWithLittle() {
+        FakeHost f = new FakeHost(figures(0)).fleet(6, 2);
+        f.second(6, 0, 10, 100, 0, NONE).second(6, 0, 10, 100, 9, Set.of(3));
+        assertEquals(Set.of(3), f.out);
+        for (int s = 0; s < 3; s++) {
+            f.second(3, 0, 10, 100, 0, NONE);
+        }
+        assertTrue(f.weight(0, 3) > 0 && f.weight(0, 3) < 0.2);
+    }
+
+    @Test
+    void aHostThatOneZoneCannotReachIsNotTakenFromTheOthers() {
+        FakeHost f = new FakeHost(figures(0)).fleet(6, 2);
+        for (int s = 0; s < 3; s++) {
+            f.second(6, 0, 10, 100, 0, NONE).second(6, 1, 10, 100, 10, Set.of(0, 2));
+        }
+        assertEquals(NONE, f.out);
+    }
+
+    @Test
+    void manySuspectsAtOnceDoNotEmptyTheTable() {
+        FakeHost f = new FakeHost(figures(0)).fleet(6, 2);
+        f.second(6, 0, 10, 100, 0, NONE).second(6, 0, 20, 100, 20, Set.of(0, 1, 2, 3));
+        assertTrue(f.out.size() <= 2);
+    }
+
+    @Test
+    void theLastHostsOfAnOperationAreLetBackThoughSick() {
+        FakeHost f = new FakeHost(figures(0)).fleet(6, 2);
+        f.second(6, 0, 10, 100, 0, NONE).second(6, 0, 10, 100, 9, Set.of(3));
+        assertEquals(Set.of(3), f.out);
+        for (int h : new int[] {0, 1, 2, 4, 5}) {
+            f.drains(h);
+        }
+        f.settle();
+        assertFalse(f.out.contains(3));
+    }
+
+    @Test
+    void overloadTurnsAwayWhatEarnsLeastAndLetsItInAgain() {
+        FakeHost f = new FakeHost(figures(0, operation(Effect.IDEMPOTENT, Sharing.ALL, 0, 1, ALL),
+                operation(Effect.SIDE_EFFECTING, Sharing.ALL, 0, 3, ALL))).fleet(4, 1);
+        for (int s = 0; s < 4; s++) {
+            f.balance.traffic(0, 0, 1000, 50);
+            f.balance.traffic(0, 1, 1000, 20);
+            f.second(4, 0, 20, 900, 0, NONE);
+        }
+        assertTrue(f.levels.get(1) < 0.9);
+        assertEquals(1, f.levels.get(2));
+        for (int s = 0; s < 30; s++) {
+            f.second(4, 0, 20, 100, 0, NONE);
+        }
+        assertEquals(1, f.levels.get(1));
+    }
+
+    @Test
+    void aSliceGetsItsNextOwnerOnlyWhenNoWriteCanBeInTheHandsOfTheLast() {
+        FakeHost f = new FakeHost(figures(0, new StartFigures.Slices(4, true, 2000, 3000)));
+        f.fleet(3, 0);
+        f.balance.charge(2, true);
+        f.balance.held(2, 1, 1);
+        f.settle();
+        f.drains(1);
+        f.settle();
+        f.pass(3000);
+        assertEquals(NONE, f.tables.getOrDefault(2, new java.util.TreeMap<>()).keySet());
+        f.pass(6000);
+        assertEquals(1, f.tables.get(2).size());
+    }
+}
--- /dev/null
+++ b/src/test/java/linenring/plan/FakeHost.java
@@ -0,0 +1,182 @@
+package linenring.plan;
+
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import linenring.plan.StartFigures.Effect;
+import linenring.plan.StartFigures.Operation;
+import linenring.plan.StartFigures.Sharing;
+
+/** The tiny fake host that all stories play against: it carries out orders at once and remembers them. */
+final class FakeHost implements Orders {
+    static final long ALL = -1;
+
+    final TreeMap<Integer, TreeMap<Integer, Double>> tables = new TreeMap<>();
+    final TreeMap<Integer, Integer> bound = new TreeMap<>(); // proxy to its latest table
+    final TreeMap<Integer, Double> levels = new TreeMap<>(); // by mask
+    final TreeMap<Integer, FurtherTries> tries = new TreeMap<>();
+    final Set<Integer> out = new TreeSet<>();
+    final Set<Integer> silent = new TreeSet<>();             // proxies that answer no barrier
+    final Set<Integer> joined = new TreeSet<>();
+    final List<String> said = new ArrayList<>();
+    final Balance balance;
+    double now = 100_000;
+    int barriers;
+    private int pending = -1;
+
+    FakeHost(StartFigures figures) {
+        balance = new Balance(figures, this);
+    }
+
+    static Operation operation(Effect effect, Sharing sharing, double window, double value, long zones) {
+        return new Operation(1000, 4000, value, 0.1, effect, sharing, window, zones, ALL, false, 2);
+    }
+
+    static StartFigures figures(int messagesMost, Operation... operations) {
+        return figures(messagesMost, new StartFigures.Slices(0, false, 0, 0), operations);
+    }
+
+    static StartFigures figures(int messagesMost, StartFigures.Slices slices, Operation... operations) {
+        List<Operation> all = operations.length > 0 ? List.of(operations)
+                : List.of(operation(Effect.IDEMPOTENT, Sharing.ALL, 0, 1, ALL));
+        return new StartFigures(7, all, new StartFigures.Goal(1, 0, 0),
+                new StartFigures.ColdStart(0.2, 10_000, 3, 2000),
+                new StartFigures.Channel(1000, 4, 1500, messagesMost, 10_000, 100, 250, 2000, 4000),
+                new StartFigures.Reports(1000, 500), slices,
+                new StartFigures.Letting(StartFigures.Measure.SHARE, 1, FurtherTries.ONE_ON_PROOF), false, 0, false);
+    }
+
+    /** A fleet of warm hosts, the even ones in zone 0 and the odd ones in zone 1, and joined proxies. */
+    FakeHost fleet(int hosts, int proxies) {
+        balance.clock(now);
+        balance.listOpens(true);
+        for (int h = 0; h < hosts; h++) {
+            balance.running(h, h % 2, 0, 1, Double.NEGATIVE_INFINITY);
+        }
+        balance.listCloses();
+        for (int p = 0; p < proxies; p++) {
+            join(p);
+        }
+        return settle();
+    }
+
+    void join(int proxy) {
+        balance.joined(proxy, proxy % 2);
+        joined.add(proxy);
+    }
+
+    void starts(int host) {
+        balance.listOpens(false);
+        balance.running(host, host % 2, 0, 1, now);
+        balance.listCloses();
+    }
+
+    void drains(int host) {
+        balance.listOpens(false);
+        balance.stopping(host, host % 2, 0, 1);
+        balance.listCloses();
+    }
+
+    FakeHost settle() {
+        said.clear();
+        balance.settle();
+        return this;
+    }
+
+    /** Lets time pass in steps of 100 ms; barriers are answered at the next step, but not by silent proxies. */
+    FakeHost pass(double ms) {
+        for (double end = now + ms; now < end; ) {
+            now += 100;
+            balance.clock(now);
+            if (pending >= 0) {
+                joined.stream().filter(p -> !silent.contains(p)).forEach(p -> balance.inForce(p, pending, 200));
+            }
+            balance.alarm();
+            balance.settle();
+        }
+        return this;
+    }
+
+    /** Reports of one second in which the hosts met these tries, with so many bad ones at some of them. */
+    FakeHost second(int hosts, int proxyZone, int total, double ms, int bad, Set<Integer> badHosts) {
+        for (int h = 0; h < hosts; h++) {
+            balance.tally(h, proxyZone, total, badHosts.contains(h) ? bad : 0, ms);
+        }
+        return pass(1000);
+    }
+
+    double weight(int proxy, int host) {
+        return out.contains(host) ? 0 : tables.get(bound.get(proxy)).getOrDefault(host, 0.0);
+    }
+
+    @Override
+    public void line(int table, int host, double weight) {
+        said.add("line");
+        if (weight > 0) {
+            tables.computeIfAbsent(table, t -> new TreeMap<>()).put(host, weight);
+        } else {
+            tables.computeIfAbsent(table, t -> new TreeMap<>()).remove(host);
+        }
+    }
+
+    @Override
+    public void wipe(int table) {
+        said.add("wipe");
+        tables.remove(table);
+    }
+
+    @Override
+    public void withdraw(int host, boolean shut) {
+        said.add("withdraw");
+        if (shut) {
+            out.add(host);
+        } else {
+            out.remove(host);
+        }
+    }
+
+    @Override
+    public void bind(int table, int operations, int proxy) {
+        said.add("bind");
+        bound.put(proxy, table);
+    }
+
+    @Override
+    public void level(int table, int operations, double letIn, FurtherTries how) {
+        levels.put(operations, letIn);
+        tries.put(operations, how);
+    }
+
+    @Override
+    public void barrier(int mark, boolean everyProxy) {
+        barriers++;
+        pending = mark;
+    }
+
+    @Override
+    public void probe(int host) {
+        said.add("probe");
+    }
+
+    @Override
+    public void alarm(double at, long handle) {
+        // time passes in the stories' own steps
+    }
+
+    @Override
+    public void askList() {
+        said.add("askList");
+    }
+
+    @Override
+    public void followList() {
+        said.add("followList");
+    }
+
+    @Override
+    public void note(String words) {
+        said.add(words);
+    }
+}
