Judge hosts against the best third, slow ones at half share, tries on proof alone

Cause of the losses: equal weights overload the weaker hosts; a jam made every host look broken, so waves of withdrawals fed it; tries after any failure doubled the load. Now a host is judged against the best third, a late one gets half its share and keeps it, levels go down by what still ends well, cold hosts wait outside while a storm of failed tries lasts (it answers a broken rule: cold hosts pushed over in a jam by proxies that shun all others).

--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -10,12 +10,12 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
+import java.util.stream.IntStream;
+import java.util.stream.Stream;
 import java.util.zip.CRC32;
 import linenring.plan.Orders.FurtherTries;
-import linenring.plan.StartFigures.Effect;
 import linenring.plan.StartFigures.Measure;
 import linenring.plan.StartFigures.Operation;
-import linenring.plan.StartFigures.Sharing;
 
 /**
  * Every decision of one steward. Called with what is seen: {@code clock} first, then any of the calls under
@@ -28,23 +28,19 @@
  * guard; 4 levels and further tries; 5 channel ledger; 6 start-over (owners of slices included).
  */
 public final class Balance {
+    private static final int ENDED = 0, BAD = 1, SPENT = 2;
+
     /** All that is known of a host. */
     private static final class Host {
-        final int id;
-        int zone, kind;
+        int id, zone, kind;
         double weight = 1, started = Double.NEGATIVE_INFINITY;
         boolean running, told, inList;  // listed ready; told it drains or is gone; in the list being read
         boolean out, sick;              // shut out at the proxies; to be shut out for its health
         double backAt, trialSince = -1; // when a sick one is tried again; start of its trial step
         int strikes;                    // failed trials in a row
-        double share = 1;               // part of its weight that health allows
-        double seenAt;                  // when the sums below were last faded
-        double[] ended = {}, bad = {}, spent = {}; // late sums by zone of the proxies
+        double share = 1, restUntil;    // part of its weight that health allows; no judging before that
+        double[][] met = {{}, {}, {}};  // late sums (ENDED, BAD, SPENT) by zone of the proxies
         double[] laid = {};             // weight in each shared table, as last sent
-
-        Host(int id) {
-            this.id = id;
-        }
     }
 
     /** A message to a proxy that it has not answered yet. */
@@ -52,91 +48,78 @@
     }
 
     private static final class Proxy {
-        final int id;
         int zone;
         boolean joined;
-        int[] bound = {};              // number it is bound to, by shared table; -1 for none
-        double fresh;                  // lines ordered for it in this reply
+        int[] bound = {};               // number it is bound to, by shared table; -1 for none
+        double[] asked = {};            // invocations a second, by operation
+        double fresh;                   // lines ordered for it in this reply
         final Deque<Message> unanswered = new ArrayDeque<>();
         final Deque<Double> written = new ArrayDeque<>(); // times of the messages that the cap counts
-        final double[] asked;          // invocations a second, by operation
-
-        Proxy(int id, int operations) {
-            this.id = id;
-            asked = new double[operations];
-        }
     }
 
     /** A shared table, for the operations open to the same hosts; its number changes when laid anew. */
     private static final class Table {
-        final int index, operations, homeZone; // homeZone: -1, or that of the proxies and hosts it is for
-        int number, old = -1;
-        boolean mine = true;           // slices: in this steward's charge
+        int index, operations, number, old = -1;
+        int homeZone = -1;              // that of the proxies and hosts it is for, or -1
+        boolean mine = true;            // slices: in this steward's charge
+        Host owner;                     // slices: the host of its one line
         double sentAt = Double.NEGATIVE_INFINITY, ownerless;
-        final double[] letIn;
-        final FurtherTries[] tries;
-
-        Table(int index, int operations, int homeZone, int number, int levels) {
-            this.index = index;
-            this.operations = operations;
-            this.homeZone = homeZone;
-            this.number = number;
-            letIn = new double[levels];
-            tries = new FurtherTries[levels];
-        }
+        double[] letIn;
     }
 
     private final Orders orders;
     private final Operation[] operations;
     private final Measure measure;
-    private final double pace, perMessage, mostWaiting, messagesOver, grace, transitMost;
-    private final double coldShare, warmAfter, tryFactor, askEvery;
+    private final double pace, perMessage, mostWaiting, messagesOver, transitMost, coldShare, warmAfter;
+    private final double askEvery, ownerAfter; // ownerAfter: no write is in a former owner's hands; or -1
     private final int messagesMost;
-    private final StartFigures.Slices slices;
-    private final boolean goneNeedNotStop;
+    private final boolean goneNeedNotStop, sliced;
     private final List<Host> hosts = new ArrayList<>();
     private final List<Proxy> proxies = new ArrayList<>();
     private final List<Table> tables = new ArrayList<>();
     private final List<BooleanSupplier> rules;
-    private double now, roundTrip, alarmAt = -1, askedAt = Double.NEGATIVE_INFINITY;
+    private double now, fadedAt, roundTrip, alarmAt = -1, askedAt, stormUntil = -1;
     private double lostLines, lostUntil; // written to streams since lost: they may still wait in the channel
     private boolean wholeList, following;
     private int mark, lastNumber;
-    private double letIn = 1, leveledAt;
+    private double letIn = 1, levelAt, endedWell, objective = 1000; // until the first sums tell it
     private final double[] opLevel;
 
     public Balance(StartFigures start, Orders orders) {
         this.orders = orders;
         operations = start.operations().toArray(new Operation[0]);
         measure = start.letting().measure();
-        tryFactor = start.letting().tryFactor();
         pace = start.channel().pace() / 1000;
         perMessage = start.channel().perMessage() + 1; // and one for the barrier request
         mostWaiting = start.channel().mostWaiting();
         messagesMost = start.channel().messagesMost();
         messagesOver = start.channel().messagesOver();
-        grace = start.channel().grace();
         transitMost = start.channel().transitMost();
         roundTrip = 2 * start.channel().transit();
         coldShare = start.cold().startsAt();
         warmAfter = start.cold().warmAfter();
-        slices = start.slices();
         goneNeedNotStop = start.goneNeedNotStop();
         askEvery = start.listMustBeAsked() ? start.askListWithin() / 3 : 1e18; // two calls may fail
+        sliced = start.slices().count() > 0;
+        ownerAfter = !start.slices().singleOwner() ? -1
+                : start.slices().lease() + start.slices().lingers() + start.channel().grace();
         opLevel = new double[operations.length];
         Arrays.fill(opLevel, 1);
-        for (int k = 0; k < operations.length && slices.count() == 0; k++) {
+        for (int k = 0; k < operations.length && !sliced; k++) {
             addTablesFor(k);
         }
         rules = List.of(
                 each(h -> h.told && !h.out, h -> withdraw(h, true)),
                 each(this::fails, this::markSick),
+                each(this::isSlow, h -> setShare(h, 0.5 * h.share)),
+                each(this::wasSlow, h -> setShare(h, Math.min(1, 2 * h.share))),
                 each(h -> h.sick && !h.out && spared(h), h -> withdraw(h, true)),
-                each(h -> h.sick && h.running && now >= h.backAt, this::startTrial),
+                each(h -> h.sick && h.running && now >= h.backAt, h -> startTrial(h, 0.15)),
                 each(this::passesTrial, this::growShare),
-                each(h -> h.sick && h.out && isLast(h), this::letBack),
+                each(h -> h.sick && h.out && isLast(h), h -> startTrial(h, 1)),
+                each(h -> h.running && !h.out && inTables(h) && keptFromStorm(h), h -> withdraw(h, true)),
                 this::cutRestarted,
-                this::bindJoining,
+                this::bindProxies,
                 this::sendSubUpdate,
                 this::clearOld,
                 this::placeSlices,
@@ -148,21 +131,26 @@
 
     private BooleanSupplier each(Predicate<Host> when, Consumer<Host> then) {
         return () -> {
-            boolean fired = false;
-            for (Host h : hosts) {
-                if (when.test(h)) {
-                    then.accept(h);
-                    fired = true;
-                }
-            }
-            return fired;
+            List<Host> found = hosts.stream().filter(when).toList();
+            found.stream().filter(when).forEach(then); // what was done for one may settle it for the next
+            return !found.isEmpty();
         };
     }
 
     // ---- what is seen
 
+    /** Sums fade by half in 1.5 s: about as late as they come. */
     public void clock(double at) {
         now = at;
+        if (stormUntil < 0) {
+            stormUntil = now + 4000; // a fresh start knows nothing: by then the first sums have come
+            askedAt = now - askEvery;
+        }
+        if (now - fadedAt >= 100) { // no finer than the alarms
+            double keep = Math.pow(0.5, (now - fadedAt) / 1500);
+            fadedAt = now;
+            hosts.forEach(h -> fade(h, keep));
+        }
     }
 
     public void settle() {
@@ -190,7 +178,7 @@
             h.sick = false;
             h.share = 1;
             h.trialSince = -1;
-            forget(h);
+            fade(h, 0);
         }
         h.started = started;
         h.running = true;
@@ -213,11 +201,7 @@
     }
 
     public void listCloses() {
-        for (Host h : hosts) {
-            if (wholeList && !h.inList) {
-                gone(h.id);
-            }
-        }
+        hosts.stream().filter(h -> wholeList && !h.inList).forEach(h -> gone(h.id));
     }
 
     public void listFailed() {
@@ -237,13 +221,13 @@
     public void lost(int id) {
         Proxy p = proxy(id);
         if (!p.unanswered.isEmpty()) {
-            lostLines = now < lostUntil ? lostLines : 0;
+            lostLines = (now < lostUntil ? lostLines : 0) + linesOut(p);
             lostUntil = now + 4 * transitMost; // a channel at a quarter of its pace has let them go
         }
-        p.unanswered.forEach(m -> lostLines += m.lines());
         p.unanswered.clear();
         p.written.clear();
         p.joined = false;
+        p.fresh = 0;
     }
 
     public void inForce(int id, int answered, double tookMs) {
@@ -258,17 +242,10 @@
 
     public void tally(int id, int zone, int total, int bad, double meanMs) {
         Host h = host(id);
-        if (h.ended.length <= zone) {
-            h.ended = Arrays.copyOf(h.ended, zone + 1);
-            h.bad = Arrays.copyOf(h.bad, zone + 1);
-            h.spent = Arrays.copyOf(h.spent, zone + 1);
-        }
-        double keep = Math.pow(0.5, (now - h.seenAt) / 1500); // fade by half in 1.5 s: as late as sums come
-        h.seenAt = now;
-        for (int z = 0; z < h.ended.length; z++) {
-            h.ended[z] = h.ended[z] * keep + (z == zone ? total : 0);
-            h.bad[z] = h.bad[z] * keep + (z == zone ? bad : 0);
-            h.spent[z] = h.spent[z] * keep + (z == zone ? (total - bad) * meanMs : 0);
+        double[] met = {total, bad, (total - bad) * meanMs};
+        for (int i = 0; i < met.length; i++) {
+            h.met[i] = h.met[i].length > zone ? h.met[i] : Arrays.copyOf(h.met[i], zone + 1);
+            h.met[i][zone] += met[i];
         }
     }
 
@@ -284,19 +261,23 @@
     public void charge(int slice, boolean given) {
         Table t = sliceTable(slice);
         t.mine = given;
+        t.owner = null;
         t.ownerless = now; // another steward's owner may still be writing
         hosts.forEach(h -> setLaid(h, t, 0));
     }
 
     public void held(int slice, int id, double weight) {
-        setLaid(host(id), sliceTable(slice), weight);
+        Table t = sliceTable(slice);
+        t.owner = host(id);
+        setLaid(t.owner, t, weight);
     }
 
     // ---- records
 
     private Host host(int id) {
         while (hosts.size() <= id) {
-            hosts.add(new Host(hosts.size()));
+            hosts.add(new Host());
+            hosts.get(hosts.size() - 1).id = hosts.size() - 1;
         }
         return hosts.get(id);
     }
@@ -312,58 +293,44 @@
 
     private Proxy proxy(int id) {
         while (proxies.size() <= id) {
-            proxies.add(new Proxy(proxies.size(), operations.length));
+            proxies.add(new Proxy());
+            proxies.get(proxies.size() - 1).asked = new double[operations.length];
         }
         return proxies.get(id);
     }
 
-    private List<Proxy> users(Table t) {
-        return proxies.stream().filter(p -> p.joined && bound(p, t) == t.number).toList();
-    }
-
-    private int bound(Proxy p, Table t) {
-        return slices.count() > 0 ? t.number : p.bound[t.index];
-    }
-
-    private static double sum(double[] byZone) {
-        return Arrays.stream(byZone).sum();
-    }
-
-    private static void forget(Host h) {
-        Arrays.fill(h.ended, 0);
-        Arrays.fill(h.bad, 0);
-        Arrays.fill(h.spent, 0);
+    private Table addTable(int mask, int homeZone, int number) {
+        Table t = new Table();
+        t.index = tables.size();
+        t.operations = mask;
+        t.homeZone = homeZone;
+        t.number = number;
+        t.letIn = new double[operations.length];
+        tables.add(t);
+        return t;
     }
 
     /** Operations open to the same hosts share a table; one confined to the proxy's zone has one a zone. */
     private void addTablesFor(int k) {
-        int alike = 0;
-        for (int j = 0; j < operations.length; j++) {
-            boolean same = operations[j].openTo(operations[k]);
-            if (same && j < k) {
-                return;
-            }
-            alike |= same ? 1 << j : 0;
-        }
-        int mask = Integer.bitCount(alike) == operations.length ? 0 : alike;
-        for (int z = 0; z < (operations[k].homeZoneOnly() ? operations[k].zoneCount() : 1); z++) {
-            tables.add(new Table(tables.size(), mask, operations[k].homeZoneOnly() ? z : -1, ++lastNumber,
-                    operations.length));
+        int alike = IntStream.range(0, operations.length).filter(j -> operations[j].openTo(operations[k]))
+                .map(j -> 1 << j).sum();
+        boolean home = operations[k].homeZoneOnly();
+        for (int z = 0; z < (home ? operations[k].zoneCount() : 1) && alike >> k << k == alike; z++) {
+            addTable(Integer.bitCount(alike) == operations.length ? 0 : alike, home ? z : -1, ++lastNumber);
         }
     }
 
     private Table sliceTable(int slice) {
-        for (Table t : tables) {
-            if (t.number == slice) {
-                return t;
-            }
-        }
-        tables.add(new Table(tables.size(), 0, -1, slice, operations.length));
-        return tables.get(tables.size() - 1);
+        return tables.stream().filter(t -> t.number == slice).findFirst()
+                .orElseGet(() -> addTable(0, -1, slice));
     }
 
-    private boolean has(Table t, int operation) {
-        return t.operations == 0 || (t.operations >> operation & 1) != 0;
+    private Stream<Proxy> joined() {
+        return proxies.stream().filter(p -> p.joined);
+    }
+
+    private List<Proxy> users(Table t) {
+        return joined().filter(p -> sliced || p.bound[t.index] == t.number).toList();
     }
 
     private boolean open(Host h, Table t) {
@@ -381,44 +348,70 @@
         h.laid[t.index] = weight;
     }
 
+    private boolean inTables(Host h) {
+        return Arrays.stream(h.laid).anyMatch(w -> w > 0);
+    }
+
+    private int length(Table t) {
+        return (int) hosts.stream().filter(h -> laid(h, t) > 0).count();
+    }
+
+    private static double sum(Host h, int what) {
+        return Arrays.stream(h.met[what]).sum();
+    }
+
+    private double sumAll(int what) {
+        return hosts.stream().filter(h -> h.running).mapToDouble(h -> sum(h, what)).sum();
+    }
+
+    private static void fade(Host h, double keep) {
+        for (double[] sums : h.met) {
+            Arrays.setAll(sums, z -> sums[z] * keep);
+        }
+    }
+
+    /** Where the best part of the hosts ends. In a jam all are bad; beside broken hosts the best are not. */
+    private double best(double part, ToDoubleFunction<Host> figure) {
+        double[] all = hosts.stream().filter(h -> h.running && !h.out && sum(h, ENDED) >= 3)
+                .mapToDouble(figure).sorted().toArray();
+        return all.length > 0 ? all[(int) (all.length * part)] : 0;
+    }
+
     // ---- drains and withdrawals: past the windows, to all proxies
 
     private void withdraw(Host h, boolean out) {
         h.out = out;
         orders.withdraw(h.id, out);
-        proxies.forEach(p -> p.fresh += p.joined ? 1 : 0);
+        joined().forEach(p -> p.fresh += 1);
     }
 
     // ---- 1 health from late sums and trial return
 
-    private double overIn(ToDoubleFunction<Host> figure, Host but) {
-        return hosts.stream().filter(h -> h != but && h.running && !h.out).mapToDouble(figure).sum();
+    /** What a try took on average, as a share of the objective; one that failed counts as late by half. */
+    private double lateness(Host h) {
+        return (sum(h, SPENT) / objective + 1.5 * sum(h, BAD)) / Math.max(1, sum(h, ENDED));
     }
 
     /**
      * Guards against hosts that fail or swallow invocations while their process runs; it holds against any
-     * cause that shows as bad tries at one host and not at the rest. It could harm where a slow host is still
-     * needed: hence the share. 4 bad tries, or 2 on trial, prove enough; under 0.3, and half above the rest,
-     * a host still serves more than its absence would save.
+     * cause that shows as bad tries at one host and not at the best third. It could harm where a slow host is
+     * still needed: so one whose good answers are late goes only when it has hardly any.
      */
     private boolean fails(Host h) {
-        double bad = sum(h.bad);
-        double ended = sum(h.ended);
+        double bad = sum(h, BAD);
+        double good = sum(h, ENDED) - bad;
         if (!h.running || h.sick || bad < (h.trialSince >= 0 ? 2 : 4) || onlyFromSomeZones(h)) {
-            return false;
+            return false; // 4 bad tries, or 2 on trial, prove enough
         }
-        double rest = overIn(o -> sum(o.bad), h) / Math.max(1, overIn(o -> sum(o.ended), h));
-        return bad >= ended * Math.max(0.3, 0.15 + 1.5 * rest);
+        boolean quick = sum(h, SPENT) < 1.3 * good * objective * best(0.33, this::lateness);
+        double usual = best(0.33, o -> sum(o, BAD) / sum(o, ENDED));
+        return bad >= (good + bad) * Math.max(quick ? 0.3 : 0.97, 0.15 + 2.2 * usual);
     }
 
     /** Bad from one zone and good from another: the way there is cut, the host is not broken. */
     private boolean onlyFromSomeZones(Host h) {
-        for (int z = 0; z < h.ended.length; z++) {
-            if (h.ended[z] >= 3 && h.bad[z] < 0.2 * h.ended[z]) {
-                return true;
-            }
-        }
-        return false;
+        return IntStream.range(0, h.met[ENDED].length)
+                .anyMatch(z -> h.met[ENDED][z] >= 3 && h.met[BAD][z] < 0.2 * h.met[ENDED][z]);
     }
 
     private void markSick(Host h) {
@@ -427,16 +420,17 @@
         h.backAt = now + 3000 * Math.pow(1.5, Math.min(4, h.strikes++)); // 3 s, up to 15 s for what stays bad
     }
 
-    private void startTrial(Host h) {
+    /** With a share of 0.15 a host has a try a second or so: enough to judge by soon, little to lose. */
+    private void startTrial(Host h, double share) {
         h.sick = false;
         h.trialSince = now;
-        h.share = 0.15; // a try a second or so: enough to judge by within some seconds, little to lose
-        forget(h);
+        h.share = share;
+        fade(h, 0);
     }
 
     private boolean passesTrial(Host h) {
         double since = now - h.trialSince; // reports are up to 1.6 s late; after 6 s silence must do
-        return h.trialSince >= 0 && since > 1500 && (sum(h.ended) >= 2 || since > 6000);
+        return h.trialSince >= 0 && since > 1500 && (sum(h, ENDED) >= 2 || since > 6000);
     }
 
     private void growShare(Host h) {
@@ -445,58 +439,72 @@
         h.strikes = h.share < 1 ? h.strikes : Math.max(0, h.strikes - 1);
     }
 
-    // ---- 3 last-line guard
+    /**
+     * Guards against a host that cannot bear its listed share while the best third can: it gets half, and
+     * keeps that until it is among the quickest. It could harm where a passing jam is taken for a weak host.
+     */
+    private boolean isSlow(Host h) {
+        double others = best(0.33, this::lateness);
+        return steady(h) && now > h.restUntil && sum(h, ENDED) >= 8 && h.share > 0.1 && others < 0.5
+                && lateness(h) > Math.max(0.5, 1.6 * others) && !onlyFromSomeZones(h);
+    }
 
-    /** A host may go for its health while two thirds of the weight that each table can use stay in. */
-    private boolean spared(Host h) {
-        for (Table t : tables) {
-            double all = 0;
-            double in = 0;
-            for (Host o : hosts) {
-                all += o.running && open(o, t) ? o.weight : 0;
-                in += o.running && open(o, t) && !o.out && o != h ? o.weight : 0;
-            }
-            if (open(h, t) && in < 0.66 * all) {
-                return false;
-            }
-        }
-        return true;
+    private boolean wasSlow(Host h) {
+        return steady(h) && h.share < 1 && now > h.restUntil + 10_000 && sum(h, ENDED) >= 4
+                && lateness(h) < best(0.33, this::lateness);
     }
 
-    /** Guards against a table left with none but sick hosts: they are let back in. */
-    private boolean isLast(Host h) {
-        return h.running && tables.stream().anyMatch(t -> open(h, t)
-                && hosts.stream().noneMatch(o -> o.running && !o.out && open(o, t)));
+    private boolean steady(Host h) {
+        return h.running && !h.sick && h.trialSince < 0 && isWarm(h);
     }
 
-    private void letBack(Host h) {
-        startTrial(h);
-        h.share = 1;
-        withdraw(h, false);
+    private void setShare(Host h, double share) {
+        h.share = share;
+        h.restUntil = now + 5000; // its queue drains and the sums come in
+        fade(h, 0);
     }
 
     // ---- 2 cold-host guard
 
+    private boolean isWarm(Host h) {
+        return now - h.started >= warmAfter;
+    }
+
     /** The surest lower bound of what a host can do now, as a share of what it can do when warm. */
     private double able(Host h) {
-        double age = Math.max(0, now - h.started);
-        return age >= warmAfter ? 1 : coldShare + (1 - coldShare) * age / warmAfter;
+        return isWarm(h) ? 1 : coldShare + (1 - coldShare) * Math.max(0, now - h.started) / warmAfter;
+    }
+
+    private double sumIn(ToDoubleFunction<Host> figure) {
+        return hosts.stream().filter(h -> h.running && !h.out).mapToDouble(figure).sum();
     }
 
     /**
-     * The ramp of the design (half weight, full at 10 s), held under what the host can do. When many are cold
-     * at once, all shares rise as the weights of the cold fall; so theirs fall once more by as much.
+     * The listed weight; for a new host the design's ramp (half weight, full at 10 s), under what it can
+     * do. When many are cold at once all shares rise as their weights fall; so these fall once more by as
+     * much. When only a part of all tries ends well the rest comes again: a cold host gets that part of it.
      */
     private double wanted(Host h, Table t) {
-        if (!h.running || !open(h, t)) {
-            return 0;
-        }
         double age = Math.max(0, now - h.started);
-        if (age >= Math.max(10000, warmAfter)) {
+        if (!h.running || !open(h, t) || sliced) {
+            return sliced && h == t.owner ? h.weight : 0;
+        } else if (age >= Math.max(10_000, warmAfter)) {
             return h.weight * h.share;
         }
-        double crowd = overIn(o -> o.weight * able(o), null) / Math.max(1e-9, overIn(o -> o.weight, null));
-        return h.weight * h.share * Math.min(0.5 + age / 20000, able(h)) * (crowd > 0 ? crowd : able(h));
+        double all = sumIn(o -> o.weight);
+        double crowd = all > 0 ? sumIn(o -> o.weight * able(o)) / all : able(h);
+        double well = 1 - sumAll(BAD) / Math.max(20, sumAll(ENDED));
+        return h.weight * h.share * Math.min(0.5 + age / 20_000, able(h)) * crowd * Math.max(0.01, well);
+    }
+
+    /**
+     * Guards against a cold host that is sent the repeats of all: in a storm proxies shun the hosts that
+     * failed them and fall on the one that has not. It waits outside while warm ones are in. It could harm
+     * where only the cold could end the storm; levels end it first.
+     */
+    private boolean keptFromStorm(Host h) {
+        return now < stormUntil && !isWarm(h) && tables.stream().allMatch(t -> !open(h, t)
+                || hosts.stream().anyMatch(o -> o.running && !o.out && open(o, t) && isWarm(o)));
     }
 
     /** Guards against a restarted host that keeps its full weight: cut past the windows, as a withdrawal. */
@@ -504,9 +512,8 @@
         boolean fired = false;
         for (Table t : tables) {
             for (Host h : hosts) {
-                double want = slices.count() > 0 ? 0 : wanted(h, t);
-                if (want > 0 && !h.out && want < 0.6 * laid(h, t)) {
-                    lay(h, t, want);
+                if (!h.out && wanted(h, t) > 0 && wanted(h, t) < 0.6 * laid(h, t)) {
+                    lay(h, t, wanted(h, t));
                     fired = true;
                 }
             }
@@ -514,30 +521,59 @@
         return fired;
     }
 
+    // ---- 3 last-line guard
+
+    /** A host may go for its health while half of the weight that each table can use stays in. */
+    private boolean spared(Host h) {
+        return tables.stream().allMatch(t -> !open(h, t)
+                || sumIn(o -> o != h && open(o, t) ? o.weight : 0) >= 0.5
+                * hosts.stream().filter(o -> o.running && open(o, t)).mapToDouble(o -> o.weight).sum());
+    }
+
+    /** Guards against a table left with none but sick hosts: they are let back in. */
+    private boolean isLast(Host h) {
+        return h.running && tables.stream().anyMatch(t -> open(h, t)
+                && hosts.stream().noneMatch(o -> o.running && !o.sick && open(o, t)));
+    }
+
     // ---- the design: sub-updates over shared tables
 
     /** A line is due when it comes or goes, or its weight is off by an eighth: a ramp is a dozen steps. */
     private boolean due(Host h, Table t) {
         double want = wanted(h, t);
         double has = laid(h, t);
-        return (want == 0) != (has == 0) || Math.abs(want - has) > 0.12 * Math.max(want, has)
-                || want == h.weight && has != want || backIn(h);
+        return (has > 0 || !keptFromStorm(h)) && ((want == 0) != (has == 0) || backIn(h)
+                || Math.abs(want - has) > 0.12 * Math.max(want, has) || want == h.weight && has != want);
     }
 
     private boolean backIn(Host h) {
-        return h.out && h.running && !h.sick;
+        return h.out && h.running && !h.sick && !keptFromStorm(h);
     }
 
-    private int length(Table t) {
-        return (int) hosts.stream().filter(h -> laid(h, t) > 0).count();
+    private boolean levelDue(Table t, int k) {
+        return !sliced && (t.operations == 0 || (t.operations >> k & 1) != 0)
+                && Math.abs(t.letIn[k] - opLevel[k]) > 0.02; // finer steps are not worth their messages
     }
 
     private int pending(Table t) {
-        int lines = (int) hosts.stream().filter(h -> due(h, t)).count();
-        for (int k = 0; k < operations.length; k++) {
-            lines += levelDue(t, k) ? 1 : 0;
-        }
-        return lines;
+        return (int) (hosts.stream().filter(h -> due(h, t)).count()
+                + IntStream.range(0, operations.length).filter(k -> levelDue(t, k)).count());
+    }
+
+    /** Lines not yet sent, by depth: binds have a step after them (2 with their own), the rest none (1). */
+    private double unsent(Table t, int depth) {
+        return depth == 2 ? unbound(t).count() * (1.0 + length(t)) : pending(t) * users(t).size();
+    }
+
+    private Stream<Proxy> unbound(Table t) {
+        return joined().filter(p -> !sliced && p.bound[t.index] != t.number
+                && (t.homeZone < 0 || t.homeZone == p.zone) && length(t) > 0);
+    }
+
+    /** The depth rule: where binds would be last of all to finish, the table's other lines wait for them. */
+    private boolean onlyBinds(Table t) {
+        double longest = tables.stream().mapToDouble(o -> unsent(o, 1) + unsent(o, 2)).max().orElse(0) / pace;
+        return unsent(t, 2) > 0 && (2 * roundTrip + unsent(t, 2) / pace) * 1.05 > longest;
     }
 
     private void lay(Host h, Table t, double weight) {
@@ -551,33 +587,45 @@
     /** The new lines, then who may use them: a host comes back in when every table has its due weight. */
     private void layDue(Table t) {
         hosts.stream().filter(h -> due(h, t)).forEach(h -> lay(h, t, wanted(h, t)));
-        for (int k = 0; k < operations.length; k++) {
-            if (levelDue(t, k)) {
-                layLevel(t, k);
-            }
-        }
+        IntStream.range(0, operations.length).filter(k -> levelDue(t, k)).forEach(k -> layLevel(t, k));
         t.sentAt = now;
-        for (Host h : hosts) {
-            if (backIn(h) && tables.stream().allMatch(o -> laid(h, o) == wanted(h, o))) {
-                withdraw(h, false);
-            }
-        }
+        hosts.stream().filter(h -> backIn(h) && tables.stream().allMatch(o -> laid(h, o) == wanted(h, o)))
+                .forEach(h -> withdraw(h, false));
     }
 
-    private void bind(Proxy p, Table t) {
-        orders.bind(t.number, t.operations, p.id);
-        p.bound[t.index] = t.number;
-        p.fresh += 1 + length(t) + Integer.bitCount(t.operations);
+    /** The smallest pending sub-update goes first; each is sent whole, once all its proxies have room. */
+    private boolean sendSubUpdate() {
+        Table next = tables.stream()
+                .filter(t -> t.mine && pending(t) > 0 && now - t.sentAt >= gap() && !onlyBinds(t))
+                .filter(t -> allHaveRoom(t, pending(t)))
+                .min(Comparator.comparingDouble(t -> unsent(t, 1))).orElse(null);
+        if (next == null) {
+            return false;
+        }
+        if (pending(next) > length(next) && length(next) > 0 && next.old == -1 && !sliced) {
+            next.old = next.number; // laid anew: its proxies are bound to it, and the old one is cleared
+            next.number = ++lastNumber % 65535;
+            hosts.forEach(h -> setLaid(h, next, 0));
+            Arrays.fill(next.letIn, 0);
+        }
+        layDue(next);
+        return true;
     }
 
-    /** A joining proxy is bound at once: its window is empty, and what it holds may name hosts that drain. */
-    private boolean bindJoining() {
+    /**
+     * A joining proxy is bound at once: its window is empty, and what it holds may name hosts that drain. The
+     * others move to a new table as a batch.
+     */
+    private boolean bindProxies() {
         boolean fired = false;
-        for (Table t : slices.count() > 0 ? List.<Table>of() : tables) {
-            for (Proxy p : proxies) {
-                if (p.joined && p.bound[t.index] == -1 && length(t) > 0
-                        && (t.homeZone < 0 || t.homeZone == p.zone) && mayWrite(p, length(t) + 2, true)) {
-                    bind(p, t);
+        for (Table t : tables) {
+            boolean room = unbound(t).allMatch(p -> p.bound[t.index] == -1 || hasRoom(p, t, length(t)));
+            for (Proxy p : unbound(t).toList()) {
+                boolean joins = p.bound[t.index] == -1;
+                if ((joins || room && !lags(p)) && mayWrite(p, length(t) + 2, joins)) {
+                    orders.bind(t.number, t.operations, proxies.indexOf(p));
+                    p.bound[t.index] = t.number;
+                    p.fresh += 1 + length(t) + operations.length;
                     fired = true;
                 }
             }
@@ -585,43 +633,11 @@
         return fired;
     }
 
-    /** The smallest pending sub-update goes first; each is sent whole, once all its proxies have room. */
-    private boolean sendSubUpdate() {
-        if (slices.count() > 0) {
-            return false;
-        }
-        List<Table> smallest = new ArrayList<>(tables);
-        smallest.sort(Comparator.comparingInt(t -> pending(t) * users(t).size()));
-        for (Table t : smallest) {
-            int lines = pending(t);
-            if (lines == 0 || now - t.sentAt < gap() || !allHaveRoom(t, lines)) {
-                continue;
-            }
-            if (lines > length(t) && length(t) > 0 && t.old == -1) {
-                layAnew(t);
-            } else {
-                layDue(t);
-            }
-            return true;
-        }
-        return false;
-    }
-
-    /** Lay, bind, clear: used where that costs the proxies fewer lines than changing the old table. */
-    private void layAnew(Table t) {
-        List<Proxy> users = users(t);
-        t.old = t.number;
-        t.number = ++lastNumber % 65535;
-        hosts.forEach(h -> setLaid(h, t, 0));
-        Arrays.fill(t.tries, null);
-        layDue(t);
-        users.forEach(p -> bind(p, t));
-    }
-
     private boolean clearOld() {
         boolean fired = false;
         for (Table t : tables) {
-            if (t.old != -1 && users(t).stream().allMatch(p -> p.unanswered.isEmpty() || lags(p))) {
+            if (t.old != -1 && unbound(t).findAny().isEmpty()
+                    && users(t).stream().allMatch(p -> p.unanswered.isEmpty() || lags(p))) {
                 orders.wipe(t.old);
                 t.old = -1;
                 fired = true;
@@ -637,15 +653,14 @@
         return Math.max(roundTrip, messagesMost > 0 ? messagesOver / (0.6 * messagesMost) : 0);
     }
 
-    private double waiting() {
-        double lost = now < lostUntil ? lostLines : 0;
-        return lost + proxies.stream().mapToDouble(p -> p.fresh + linesOut(p)).sum();
-    }
-
     private double linesOut(Proxy p) {
         return p.unanswered.stream().mapToDouble(Message::lines).sum();
     }
 
+    private double waiting() {
+        return (now < lostUntil ? lostLines : 0) + joined().mapToDouble(p -> p.fresh + linesOut(p)).sum();
+    }
+
     /** The last tenth of the queue and the last third of the cap are kept for withdrawals. */
     private boolean mayWrite(Proxy p, double lines, boolean urgent) {
         while (!p.written.isEmpty() && p.written.peek() <= now - messagesOver - 1) {
@@ -661,28 +676,30 @@
                 && now - p.unanswered.peek().at() > Math.max(3 * roundTrip, 2 * transitMost);
     }
 
+    /** The window: one round trip's worth of lines, and at least 5 messages. */
+    private boolean hasRoom(Proxy p, Table t, double lines) {
+        return lags(p) || p.unanswered.size() < 5
+                || linesOut(p) + lines <= roundTrip * pace / Math.max(1, users(t).size());
+    }
+
     private boolean allHaveRoom(Table t, double lines) {
         List<Proxy> users = users(t);
-        double window = roundTrip * pace / Math.max(1, users.size()); // one round trip's worth of lines
-        return users.stream().allMatch(p -> mayWrite(p, lines * users.size(), false)
-                && (lags(p) || p.unanswered.size() < 5 || linesOut(p) + lines <= window));
+        return users.stream().allMatch(p -> mayWrite(p, lines * users.size(), false) && hasRoom(p, t, lines));
     }
 
     /** One barrier request for all messages of this reply; each proxy concerned answers it. */
     private boolean requestBarrier() {
-        if (proxies.stream().noneMatch(p -> p.joined && p.fresh > 0)) {
-            return false;
-        }
-        mark = (mark + 1) % 65536;
-        orders.barrier(mark, false);
-        for (Proxy p : proxies) {
-            if (p.joined && p.fresh > 0) {
-                p.unanswered.add(new Message(mark, now, p.fresh + perMessage));
-                p.written.add(now);
-            }
+        List<Proxy> concerned = joined().filter(p -> p.fresh > 0).toList();
+        if (!concerned.isEmpty()) {
+            mark = (mark + 1) % 65536;
+            orders.barrier(mark, false);
+        }
+        for (Proxy p : concerned) {
+            p.unanswered.add(new Message(mark, now, p.fresh + perMessage));
+            p.written.add(now);
             p.fresh = 0;
         }
-        return true;
+        return !concerned.isEmpty();
     }
 
     private boolean setAlarm() {
@@ -696,69 +713,62 @@
 
     // ---- 4 levels and further tries
 
-    /** Tries again after any failure only what may run twice or every host would know again in time. */
-    private FurtherTries tries(int k) {
-        Operation op = operations[k];
-        boolean again = op.effect() == Effect.IDEMPOTENT || op.effect() == Effect.FINGERPRINTED
-                && op.sharing() == Sharing.ALL && op.window() > 1.25 * tryFactor * op.objective() + 250;
-        return again && letIn > 0.95 ? FurtherTries.ONE : FurtherTries.ONE_ON_PROOF;
-    }
-
-    private boolean levelDue(Table t, int k) {
-        return has(t, k) && (t.tries[k] != tries(k) || Math.abs(t.letIn[k] - opLevel[k]) > 0.02);
-    }
-
+    /** Proxies try again on proof alone: a try after any failure comes too late and feeds storms. */
     private void layLevel(Table t, int k) {
         t.letIn[k] = opLevel[k];
-        t.tries[k] = tries(k);
-        double perProxy = asked(k) / Math.max(1, users(t).size());
-        orders.level(t.number, 1 << k, measure != Measure.PER_SECOND ? opLevel[k]
-                : opLevel[k] < 1 ? opLevel[k] * perProxy : 1e6, t.tries[k]);
+        double each = asked(k) / Math.max(1, users(t).size());
+        double figure = measure != Measure.PER_SECOND ? opLevel[k] : opLevel[k] < 1 ? opLevel[k] * each
+                : 1e6; // more than any proxy is asked
+        orders.level(t.number, 1 << k, figure, FurtherTries.ONE_ON_PROOF);
         users(t).forEach(p -> p.fresh += 1);
     }
 
     private double asked(int k) {
-        return proxies.stream().filter(p -> p.joined).mapToDouble(p -> p.asked[k]).sum();
+        return joined().mapToDouble(p -> p.asked[k]).sum();
     }
 
-    /** Guards against a fleet that answers too late or not at all, whatever made it too small. */
+    /**
+     * Guards against a fleet that answers late or not at all, whatever made it too small. The share let in
+     * goes down towards what still ends well, but not when fewer tries end than once ended well: then the
+     * sums only lag. It goes up quickly to near that, then slowly.
+     */
     private boolean setLevels() {
-        double ended = overIn(h -> sum(h.ended), null);
-        double bad = overIn(h -> sum(h.bad), null);
-        double rate = 0;
-        double work = 0;
-        for (int k = 0; k < operations.length; k++) {
-            rate += asked(k);
-            work += asked(k) * operations[k].objective();
-        }
-        if (now - leveledAt < 1500 || ended < 20 || rate <= 0) { // by 1.5 s an order shows up in the sums
+        double ended = sumAll(ENDED);
+        double good = ended - sumAll(BAD);
+        double rate = IntStream.range(0, operations.length).mapToDouble(this::asked).sum();
+        double work = IntStream.range(0, operations.length).mapToDouble(this::work).sum();
+        objective = rate > 0 ? work / rate : objective;
+        stormUntil = good < ended - 0.3 * Math.max(20, ended) ? now + 3000 : stormUntil; // a fifth dead: less
+        if (ended < 20 || rate <= 0 || now < levelAt) {
             return false;
         }
-        double slow = overIn(h -> sum(h.spent), null) / Math.max(1, ended - bad) / (work / rate);
+        double late = best(0.62, this::lateness); // a third of them broken or cut off does not move it
         double before = letIn;
-        if (slow > 0.6 || bad > 0.15 * ended) {
-            letIn = Math.max(0.3, 0.88 * letIn);
-        } else if (slow < 0.45 && bad < 0.06 * ended) {
-            letIn = Math.min(1, letIn + 0.04);
+        endedWell = Math.max(endedWell * 0.998, good);
+        if (late > 0.5 && ended > 0.7 * endedWell) {
+            letIn = Math.max(0.1, letIn * Math.max(0.7, Math.min(0.95, 0.95 * good / ended)));
+        } else if (late < 0.4 && letIn < 1) {
+            letIn = Math.min(1, letIn * (ended < 0.8 * endedWell ? 1.15 : 1.04));
         }
-        leveledAt = now;
+        levelAt = now + (letIn < before ? 2500 : 1500); // what is in the queues ends, the sums come and fade
         spreadLevels((1 - letIn) * work);
         return letIn != before;
     }
 
+    private double work(int k) {
+        return asked(k) * operations[k].objective();
+    }
+
     /** What must be turned away is taken where a unit of work (by its objective) earns least. */
     private void spreadLevels(double cut) {
-        List<Integer> cheapest = new ArrayList<>();
-        for (int k = 0; k < operations.length; k++) {
-            cheapest.add(k);
-        }
-        cheapest.sort(Comparator.comparingDouble(k -> operations[k].value() / operations[k].objective()));
+        int[] cheapest = IntStream.range(0, operations.length).boxed()
+                .sorted(Comparator.comparingDouble(k -> operations[k].value() / operations[k].objective()))
+                .mapToInt(k -> k).toArray();
         Arrays.fill(opLevel, 1);
         for (double floor : new double[] {0.4, 0.05}) { // first each to 0.4, so that none is given up early
             for (int k : cheapest) {
-                double work = asked(k) * operations[k].objective();
-                double take = Math.min(cut, Math.max(0, opLevel[k] - floor) * work);
-                opLevel[k] -= work > 0 ? take / work : 0;
+                double take = Math.min(cut, Math.max(0, opLevel[k] - floor) * work(k));
+                opLevel[k] -= work(k) > 0 ? take / work(k) : 0;
                 cut -= take;
             }
         }
@@ -783,21 +793,15 @@
     /** A slice has one line; a lost owner goes, and the next comes once no write can be in its hands. */
     private boolean placeSlices() {
         boolean fired = false;
-        for (Table t : slices.count() > 0 ? tables : List.<Table>of()) {
-            Host owner = hosts.stream().filter(h -> laid(h, t) > 0).findFirst().orElse(null);
-            Host next = hosts.stream().filter(h -> h.running).max(Comparator.comparingLong(h -> rank(h, t)))
-                    .orElse(null);
-            if (!t.mine || next == null || owner != null && owner.running || waiting() > 0.5 * mostWaiting) {
-                continue;
-            }
-            if (owner != null) {
-                lay(owner, t, 0);
+        for (Table t : sliced ? tables : List.<Table>of()) {
+            if (t.mine && t.owner != null && !t.owner.running) {
+                t.owner = null;
                 t.ownerless = now;
                 fired = true;
-            } else if (!slices.singleOwner()
-                    || now - t.ownerless > slices.lease() + slices.lingers() + grace) {
-                lay(next, t, next.weight);
-                fired = true;
+            } else if (t.mine && t.owner == null && now - t.ownerless > ownerAfter) {
+                t.owner = hosts.stream().filter(h -> h.running && !h.out)
+                        .max(Comparator.comparingLong(h -> rank(h, t))).orElse(null);
+                fired |= t.owner != null;
             }
         }
         return fired;
