Very cold hosts wait outside while the fleet is late or the steward is new

Sums show a jam 2 s late, so hosts under a third of their warming time stay out while the fleet is late (0.45 of the objective at 62 in 100 hosts) or the steward is under 10 s old. It should hold against any surge at a bad moment; it harms where only new hosts could relieve a fleet that is late but does not fail.

--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -78,7 +78,7 @@
     private final List<Proxy> proxies = new ArrayList<>();
     private final List<Table> tables = new ArrayList<>();
     private final List<BooleanSupplier> rules;
-    private double now, fadedAt, roundTrip, alarmAt = -1, askedAt, stormUntil = -1;
+    private double now, fadedAt, roundTrip, alarmAt = -1, askedAt, stormUntil = -1, lateUntil;
     private double lostLines, lostUntil; // written to streams since lost: they may still wait in the channel
     private boolean wholeList, following;
     private int mark, lastNumber;
@@ -143,7 +143,8 @@
     public void clock(double at) {
         now = at;
         if (stormUntil < 0) {
-            stormUntil = now + 4000; // a fresh start knows nothing: by then the first sums have come
+            stormUntil = now + 4000; // a fresh start knows nothing: by then the first sums have come,
+            lateUntil = now + 10_000; // and by then a trend shows
             askedAt = now - askEvery;
         }
         if (now - fadedAt >= 100) { // no finer than the alarms
@@ -494,7 +495,8 @@
         double all = sumIn(o -> o.weight);
         double crowd = all > 0 ? sumIn(o -> o.weight * able(o)) / all : able(h);
         double well = 1 - sumAll(BAD) / Math.max(20, sumAll(ENDED));
-        return h.weight * h.share * Math.min(0.5 + age / 20_000, able(h)) * crowd * Math.max(0.01, well);
+        double sure = able(h) * (0.5 + 0.5 * Math.min(1, age / warmAfter)); // a jam not seen yet doubles it
+        return h.weight * h.share * Math.min(0.5 + age / 20_000, sure) * crowd * Math.max(0.01, well);
     }
 
     /**
@@ -503,7 +505,8 @@
      * where only the cold could end the storm; levels end it first.
      */
     private boolean keptFromStorm(Host h) {
-        return now < stormUntil && !isWarm(h) && tables.stream().allMatch(t -> !open(h, t)
+        boolean young = now - h.started < warmAfter / 3; // so cold that a jam's first seconds push it over
+        return now < (young ? Math.max(lateUntil, stormUntil) : stormUntil) && !isWarm(h) && tables.stream().allMatch(t -> !open(h, t)
                 || hosts.stream().anyMatch(o -> o.running && !o.out && open(o, t) && isWarm(o)));
     }
 
@@ -738,11 +741,12 @@
         double rate = IntStream.range(0, operations.length).mapToDouble(this::asked).sum();
         double work = IntStream.range(0, operations.length).mapToDouble(this::work).sum();
         objective = rate > 0 ? work / rate : objective;
+        double late = best(0.62, this::lateness); // a third of them broken or cut off does not move it
         stormUntil = good < ended - 0.3 * Math.max(20, ended) ? now + 3000 : stormUntil; // a fifth dead: less
+        lateUntil = late > 0.45 ? now + 3000 : lateUntil;
         if (ended < 20 || rate <= 0 || now < levelAt) {
             return false;
         }
-        double late = best(0.62, this::lateness); // a third of them broken or cut off does not move it
         double before = letIn;
         endedWell = Math.max(endedWell * 0.998, good);
         if (late > 0.5 && ended > 0.7 * endedWell) {
--- a/src/main/java/linenring/plan/Orders.java
+++ b/src/main/java/linenring/plan/Orders.java
@@ -2,8 +2,8 @@
 
 /**
  * What the decisions call to give orders. All orders of one input take effect together: each proxy concerned
- * gets them as one message, in the order given. Hosts, proxies, tables and operations are small indices; times
- * are milliseconds on the clock that the inputs carry.
+ * gets them as one message, in the order given. Hosts, proxies, tables and operations are small indices;
+ * times are milliseconds on the clock that the inputs carry.
  */
 public interface Orders {
     /** A table number that stands for all proxies, in {@link #level} alone. */
--- a/src/main/java/linenring/wirehost/StartReader.java
+++ b/src/main/java/linenring/wirehost/StartReader.java
@@ -8,7 +8,7 @@
 import linenring.plan.StartFigures.Measure;
 import linenring.plan.StartFigures.Sharing;
 
-/** Reads the figures that a {@code provision} line carries. What is absent gets the value that changes nothing. */
+/** Reads the figures of a {@code provision} line. What is absent gets the value that changes nothing. */
 final class StartReader {
     private StartReader() {
     }
@@ -25,26 +25,30 @@
         for (int k = 0; k < count; k++) {
             String at = "Classes." + k + ".";
             operations.add(new StartFigures.Operation(
-                    in.millis(at + "Aim", 1000), in.millis(at + "Deadline", 5000), in.number(at + "Points", 1),
-                    in.number(at + "LateValue", 0), effect(in, at + "Effect"), sharing(in, at + "Group"),
+                    in.millis(at + "Aim", 1000), in.millis(at + "Deadline", 5000),
+                    in.number(at + "Points", 1), in.number(at + "LateValue", 0),
+                    effect(in, at + "Effect"), sharing(in, at + "Group"),
                     in.millis(at + "Window", 0), mask(in, at + "OnlyZones", zones),
-                    mask(in, at + "OnlyKinds", kinds), k < home.length && home[k].equals("true"), zones.length));
+                    mask(in, at + "OnlyKinds", kinds), k < home.length && home[k].equals("true"),
+                    zones.length));
         }
         int usual = Math.min(in.index("Specifics.UsualHow", 1), FurtherTries.values().length - 1);
         return new StartFigures(in.whole("Entropy"), operations,
-                new StartFigures.Goal(in.number("ScoreParts.Whole", 1), in.number("ScoreParts.WorstWindow", 0),
-                        in.number("ScoreParts.WorstClass", 0)),
+                new StartFigures.Goal(in.number("ScoreParts.Whole", 1),
+                        in.number("ScoreParts.WorstWindow", 0), in.number("ScoreParts.WorstClass", 0)),
                 new StartFigures.ColdStart(in.number("Contract.ColdFrom", 1), in.millis("Contract.Cold", 0),
                         in.number("Contract.FallMultiple", 1e9), in.millis("Contract.Fall", 1000)),
-                new StartFigures.Channel(in.number("Specifics.PushRate", 1e6), in.number("Specifics.PerMessage", 0),
-                        in.number("Specifics.MostWaiting", 1e9), in.index("Specifics.UpdateCap", 0),
+                new StartFigures.Channel(in.number("Specifics.PushRate", 1e6),
+                        in.number("Specifics.PerMessage", 0), in.number("Specifics.MostWaiting", 1e9),
+                        in.index("Specifics.UpdateCap", 0),
                         in.millis("Specifics.CountedOver", 10000), in.millis("Specifics.Propagation", 0),
                         in.millis("Specifics.TransitMax", 0), in.millis("Contract.StopSendingWithin", 1000),
                         in.millis("Specifics.UnservedMax", 1000)),
                 new StartFigures.Reports(in.millis("Specifics.Interval", 1000),
                         in.number("Specifics.ReportsPerS", 1e9)),
-                new StartFigures.Slices(in.index("Specifics.Ranges", 0), in.flag("Specifics.SingleWriter", false),
-                        in.millis("Specifics.Lease", 0), in.millis("Specifics.Lingers", 0)),
+                new StartFigures.Slices(in.index("Specifics.Ranges", 0),
+                        in.flag("Specifics.SingleWriter", false), in.millis("Specifics.Lease", 0),
+                        in.millis("Specifics.Lingers", 0)),
                 new StartFigures.Letting(measure(in), in.number("Specifics.TryFactor", 1),
                         FurtherTries.values()[usual]),
                 "on_request".equals(in.find("Discovery")), in.millis("Contract.MustAskIn", 0),
--- a/src/main/java/linenring/wirehost/Steward.java
+++ b/src/main/java/linenring/wirehost/Steward.java
@@ -23,7 +23,7 @@
         this.id = id;
     }
 
-    /** The index of a host's word; new words get the next one, so it depends on this instance's events alone. */
+    /** The index of a host's word; a new word gets the next, by this instance's events alone. */
     int host(String word) {
         Integer known = hosts.get(word);
         if (known == null) {
@@ -61,7 +61,8 @@
 
     @Override
     public void withdraw(int host, boolean out) {
-        order("cordon").append(" Host=").append(words.get(host)).append(" Flag=").append(out ? 1 : 0).append('\n');
+        order("cordon").append(" Host=").append(words.get(host))
+                .append(" Flag=").append(out ? 1 : 0).append('\n');
     }
 
     @Override
--- a/src/main/java/linenring/wirehost/WireHost.java
+++ b/src/main/java/linenring/wirehost/WireHost.java
@@ -14,7 +14,7 @@
 import java.util.TreeMap;
 import linenring.plan.Balance;
 
-/** Hosts instances of the decisions on the simulator's wire: reads a batch, calls them, writes what they order. */
+/** Hosts instances of the decisions on the simulator's wire: reads a batch, calls them, writes the orders. */
 public final class WireHost {
     /** One host's entry of a numbered list, kept until a newer list takes the number. */
     private record Entry(String host, double weight, int zone, int kind, double started, String mode) {
@@ -152,11 +152,12 @@
             case "registry" -> registry(steward, balance);
             case "joined" -> balance.joined(line.index("Sidecar"), line.index("Dc", 0));
             case "lost_stream" -> balance.lost(line.index("Sidecar"));
-            case "in_force" -> balance.inForce(line.index("Sidecar"), line.index("Rev"), line.millis("Rtt", 0));
+            case "in_force" ->
+                balance.inForce(line.index("Sidecar"), line.index("Rev"), line.millis("Rtt", 0));
             case "tally" -> balance.tally(steward.host(line.text("Host")), line.index("Dc", 0),
                     line.index("Total"), line.index("Bad", 0), line.millis("Rtt", 0));
-            case "traffic" -> balance.traffic(line.index("Sidecar"), line.index("Qos"), line.millis("Elapsed", 0),
-                    line.index("Total"));
+            case "traffic" -> balance.traffic(line.index("Sidecar"), line.index("Qos"),
+                    line.millis("Elapsed", 0), line.index("Total"));
             case "mandate" -> balance.charge(line.index("Sheet"), line.flag("Flag"));
             case "held" -> balance.held(line.index("Sheet"), steward.host(line.text("Host")),
                     line.number("Heft", 1));
@@ -208,8 +209,8 @@
                 throw line.bad("field Mode: '" + mode + "' is not known");
             }
             double started = line.millis("StartTime", 0);
-            entries.add(new Entry(line.text("Host"), line.number("Heft", 1), line.index("Dc", 0), line.index("Model", 0),
-                    started == 0 ? Double.NEGATIVE_INFINITY : started, mode));
+            entries.add(new Entry(line.text("Host"), line.number("Heft", 1), line.index("Dc", 0),
+                    line.index("Model", 0), started == 0 ? Double.NEGATIVE_INFINITY : started, mode));
         }
         banks.put(bank, entries);
     }
--- a/src/test/java/linenring/plan/BalanceTest.java
+++ b/src/test/java/linenring/plan/BalanceTest.java
@@ -101,6 +101,38 @@
         assertTrue(many.weight(0, 0) > 0 && many.weight(0, 0) < 0.7 * one.weight(0, 0));
     }
 
+    @Test
+    void aColdHostWaitsOutsideWhileMostTriesFailAndComesInAfterwards() {
+        FakeHost f = new FakeHost(figures(0)).fleet(6, 2);
+        for (int s = 0; s < 3; s++) {
+            f.second(6, 0, 30, 800, 20, Set.of(0, 1, 2, 3, 4, 5));
+        }
+        f.starts(6);
+        f.settle();
+        f.pass(500);
+        assertEquals(0, f.weight(0, 6));
+        for (int s = 0; s < 9; s++) {
+            f.second(6, 0, 10, 100, 0, NONE);
+        }
+        assertTrue(f.weight(0, 6) > 0);
+    }
+
+    @Test
+    void aSlowHostGetsHalfItsShareAndKeepsIt() {
+        FakeHost f = new FakeHost(figures(0)).fleet(6, 2);
+        f.balance.traffic(0, 0, 1000, 50);
+        for (int s = 0; s < 3; s++) {
+            f.balance.tally(2, 0, 10, 1, 900);
+            f.second(2, 0, 10, 200, 0, NONE);
+            f.balance.tally(3, 0, 10, 0, 200);
+            f.balance.tally(4, 0, 10, 0, 200);
+        }
+        assertEquals(0.5, f.weight(0, 2));
+        f.pass(8000);
+        assertEquals(0.5, f.weight(0, 2));
+        assertEquals(NONE, f.out);
+    }
+
     @Test
     void anOperationConfinedToAZoneHasATableOfThatZoneAlone() {
         FakeHost f = new FakeHost(figures(0, operation(Effect.IDEMPOTENT, Sharing.ALL, 0, 1, ALL),
