--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -411,8 +411,8 @@
 
     /** Bad from one zone and good from another: the way there is cut, the host is not broken. */
     private boolean onlyFromSomeZones(Host h) {
-        return IntStream.range(0, h.met[ENDED].length)
-                .anyMatch(z -> h.met[ENDED][z] >= 3 && h.met[BAD][z] < 0.2 * h.met[ENDED][z]);
+        return IntStream.range(0, h.met[ENDED].length).anyMatch(z -> h.met[ENDED][z] >= 3
+                && h.met[SPENT][z] / objective + 1.5 * h.met[BAD][z] < 0.35 * h.met[ENDED][z]);
     }
 
     private void markSick(Host h) {
