--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -38,7 +38,8 @@
         boolean out, sick;              // shut out at the proxies; to be shut out for its health
         double backAt, trialSince = -1; // when a sick one is tried again; start of its trial step
         int strikes;                    // failed trials in a row
-        double share = 1, restUntil;    // part of its weight that health allows; no judging before that
+        double share = 1, bears = 1;    // part of its weight that health allows, and its end after a trial
+        double restUntil;               // no judging of its lateness before that
         double[][] met = {{}, {}, {}};  // late sums (ENDED, BAD, SPENT) by zone of the proxies
         double[] laid = {};             // weight in each shared table, as last sent
     }
@@ -177,7 +178,7 @@
         Host h = listed(id, zone, kind, weight);
         if (!h.running || started > h.started) { // a new process: what was seen of the old one tells nothing
             h.sick = false;
-            h.share = 1;
+            h.share = h.bears = 1;
             h.trialSince = -1;
             fade(h, 0);
         }
@@ -435,9 +436,9 @@
     }
 
     private void growShare(Host h) {
-        h.share = Math.min(1, 2 * h.share);
-        h.trialSince = h.share < 1 ? now : -1;
-        h.strikes = h.share < 1 ? h.strikes : Math.max(0, h.strikes - 1);
+        h.share = Math.min(h.bears, 4 * h.share); // two steps at most: few orders
+        h.trialSince = h.share < h.bears ? now : -1;
+        h.strikes = h.share < h.bears ? h.strikes : Math.max(0, h.strikes - 1);
     }
 
     /**
@@ -446,7 +447,7 @@
      */
     private boolean isSlow(Host h) {
         double others = best(0.33, this::lateness);
-        return steady(h) && now > h.restUntil && sum(h, ENDED) >= 8 && h.share > 0.1 && others < 0.5
+        return steady(h) && now > h.restUntil && sum(h, ENDED) >= 8 && h.share > 0.2 && others < 0.5
                 && lateness(h) > Math.max(0.5, 1.6 * others) && !onlyFromSomeZones(h);
     }
 
@@ -460,8 +461,8 @@
     }
 
     private void setShare(Host h, double share) {
-        h.share = share;
-        h.restUntil = now + 5000; // its queue drains and the sums come in
+        h.share = h.bears = share;
+        h.restUntil = now + 8000; // its queue drains, late tries end, and the sums come in
         fade(h, 0);
     }
 
