--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -447,12 +447,12 @@
      */
     private boolean isSlow(Host h) {
         double others = best(0.33, this::lateness);
-        return steady(h) && now > h.restUntil && sum(h, ENDED) >= 8 && h.share > 0.2 && others < 0.5
+        return steady(h) && now > h.restUntil && sum(h, ENDED) >= 8 && h.share > 0.6 && others < 0.5
                 && lateness(h) > Math.max(0.5, 1.6 * others) && !onlyFromSomeZones(h);
     }
 
     private boolean wasSlow(Host h) {
-        return steady(h) && h.share < 1 && now > h.restUntil + 10_000 && sum(h, ENDED) >= 4
+        return steady(h) && h.share < 1 && now > h.restUntil + 20_000 && sum(h, ENDED) >= 4
                 && lateness(h) < best(0.33, this::lateness);
     }
 
