--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -448,7 +448,7 @@
     private boolean isSlow(Host h) {
         double others = best(0.33, this::lateness);
         return steady(h) && now > h.restUntil && sum(h, ENDED) >= 8 && h.share > 0.6 && others < 0.5
-                && lateness(h) > Math.max(0.5, 1.6 * others) && !onlyFromSomeZones(h);
+                && lateness(h) > Math.max(0.55, 1.6 * others) && !onlyFromSomeZones(h);
     }
 
     private boolean wasSlow(Host h) {
