--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -751,11 +751,11 @@
         double before = letIn;
         endedWell = Math.max(endedWell * 0.998, good);
         if (late > 0.5 && ended > 0.7 * endedWell) {
-            letIn = Math.max(0.1, letIn * Math.max(0.7, Math.min(0.95, 0.95 * good / ended)));
+            letIn = Math.max(0.1, letIn * Math.max(0.6, Math.min(0.55 / late, 0.95 * good / ended)));
         } else if (late < 0.4 && letIn < 1) {
-            letIn = Math.min(1, letIn * (ended < 0.8 * endedWell ? 1.15 : 1.04));
+            letIn = Math.min(1, letIn * (1 + (0.45 - late) * (ended < 0.8 * endedWell ? 1 : 0.4)));
         }
-        levelAt = now + (letIn < before ? 2500 : 1500); // what is in the queues ends, the sums come and fade
+        levelAt = now + (letIn < before ? 4000 : 1500); // what is in the queues ends, the sums come and fade
         spreadLevels((1 - letIn) * work);
         return letIn != before;
     }
