--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -743,7 +743,8 @@
         double work = IntStream.range(0, operations.length).mapToDouble(this::work).sum();
         objective = rate > 0 ? work / rate : objective;
         double late = best(0.62, this::lateness); // a third of them broken or cut off does not move it
-        stormUntil = good < ended - 0.3 * Math.max(20, ended) ? now + 3000 : stormUntil; // a fifth dead: less
+        boolean storm = good < ended - 0.3 * Math.max(20, ended) || late > 0.65; // a fifth dead makes less
+        stormUntil = storm ? now + 3000 : stormUntil;
         lateUntil = late > 0.45 ? now + 3000 : lateUntil;
         if (ended < 20 || rate <= 0 || now < levelAt) {
             return false;
