--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -83,7 +83,7 @@
     private double lostLines, lostUntil; // written to streams since lost: they may still wait in the channel
     private boolean wholeList, following;
     private int mark, lastNumber;
-    private double letIn = 1, levelAt, endedWell, objective = 1000; // until the first sums tell it
+    private double letIn = 1, levelAt, endedWell, objective = 1000, quickest = 0.2; // until the first sums
     private final double[] opLevel;
 
     public Balance(StartFigures start, Orders orders) {
@@ -507,7 +507,8 @@
      */
     private boolean keptFromStorm(Host h) {
         boolean young = now - h.started < warmAfter / 3; // so cold that a jam's first seconds push it over
-        return now < (young ? Math.max(lateUntil, stormUntil) : stormUntil) && !isWarm(h) && tables.stream().allMatch(t -> !open(h, t)
+        return now < (young ? Math.max(lateUntil, stormUntil) : stormUntil) && !isWarm(h)
+                && tables.stream().allMatch(t -> !open(h, t)
                 || hosts.stream().anyMatch(o -> o.running && !o.out && open(o, t) && isWarm(o)));
     }
 
@@ -743,9 +744,10 @@
         double work = IntStream.range(0, operations.length).mapToDouble(this::work).sum();
         objective = rate > 0 ? work / rate : objective;
         double late = best(0.62, this::lateness); // a third of them broken or cut off does not move it
-        boolean storm = good < ended - 0.3 * Math.max(20, ended) || late > 0.65; // a fifth dead makes less
-        stormUntil = storm ? now + 3000 : stormUntil;
-        lateUntil = late > 0.45 ? now + 3000 : lateUntil;
+        quickest = ended < 20 ? quickest : Math.min(quickest, best(0.33, this::lateness)); // unhurried
+        boolean storm = good < ended - 0.3 * Math.max(20, ended) || late > Math.max(0.45, 4 * quickest);
+        stormUntil = storm ? now + 3000 : stormUntil; // a fifth of the hosts dead makes less of one
+        lateUntil = late > Math.max(0.3, 2.5 * quickest) ? now + 3000 : lateUntil;
         if (ended < 20 || rate <= 0 || now < levelAt) {
             return false;
         }
