No further tries in a storm under lowered levels

Cause: in a jam each full host answered at once and proxies went on to the next full one, 2 to 4 attempts an invocation. It should hold against any storm of quick refusals; it harms where a storm comes from a cut and another host could have answered: so it needs lowered levels too.

--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -66,6 +66,7 @@
         Host owner;                     // slices: the host of its one line
         double sentAt = Double.NEGATIVE_INFINITY, ownerless;
         double[] letIn;
+        FurtherTries tries;
     }
 
     private final Orders orders;
@@ -557,7 +558,7 @@
 
     private boolean levelDue(Table t, int k) {
         return !sliced && (t.operations == 0 || (t.operations >> k & 1) != 0)
-                && Math.abs(t.letIn[k] - opLevel[k]) > 0.02; // finer steps are not worth their messages
+                && (t.tries != tries() || Math.abs(t.letIn[k] - opLevel[k]) > 0.02); // finer: not worth it
     }
 
     private int pending(Table t) {
@@ -593,6 +594,7 @@
     private void layDue(Table t) {
         hosts.stream().filter(h -> due(h, t)).forEach(h -> lay(h, t, wanted(h, t)));
         IntStream.range(0, operations.length).filter(k -> levelDue(t, k)).forEach(k -> layLevel(t, k));
+        t.tries = tries();
         t.sentAt = now;
         hosts.stream().filter(h -> backIn(h) && tables.stream().allMatch(o -> laid(h, o) == wanted(h, o)))
                 .forEach(h -> withdraw(h, false));
@@ -718,13 +720,20 @@
 
     // ---- 4 levels and further tries
 
-    /** Proxies try again on proof alone: a try after any failure comes too late and feeds storms. */
+    /**
+     * Proxies try again on proof alone: a try after any failure comes too late and feeds storms. In a storm
+     * under lowered levels they do not: each host that is full would send them on to the next full one.
+     */
+    private FurtherTries tries() {
+        return now < stormUntil && letIn < 0.9 ? FurtherTries.NONE : FurtherTries.ONE_ON_PROOF;
+    }
+
     private void layLevel(Table t, int k) {
         t.letIn[k] = opLevel[k];
         double each = asked(k) / Math.max(1, users(t).size());
         double figure = measure != Measure.PER_SECOND ? opLevel[k] : opLevel[k] < 1 ? opLevel[k] * each
                 : 1e6; // more than any proxy is asked
-        orders.level(t.number, 1 << k, figure, FurtherTries.ONE_ON_PROOF);
+        orders.level(t.number, 1 << k, figure, tries());
         users(t).forEach(p -> p.fresh += 1);
     }
 
--- a/src/test/java/linenring/plan/BalanceTest.java
+++ b/src/test/java/linenring/plan/BalanceTest.java
@@ -243,6 +243,21 @@
         assertEquals(1, f.levels.get(1));
     }
 
+    @Test
+    void nothingIsTriedAgainInAStormUnderLoweredLevels() {
+        FakeHost f = new FakeHost(figures(0)).fleet(6, 2);
+        for (int s = 0; s < 5; s++) {
+            f.balance.traffic(0, 0, 1000, 100);
+            f.second(6, 0, 30, 800, 20, Set.of(0, 1, 2, 3, 4, 5));
+        }
+        assertEquals(FurtherTries.NONE, f.tries.get(1));
+        assertEquals(NONE, f.out); // all are as bad: none is withdrawn
+        for (int s = 0; s < 30; s++) {
+            f.second(6, 0, 20, 100, 0, NONE);
+        }
+        assertEquals(FurtherTries.ONE_ON_PROOF, f.tries.get(1));
+    }
+
     @Test
     void aSliceGetsItsNextOwnerOnlyWhenNoWriteCanBeInTheHandsOfTheLast() {
         FakeHost f = new FakeHost(figures(0, new StartFigures.Slices(4, true, 2000, 3000)));
