--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -29,6 +29,7 @@
  */
 public final class Balance {
     private static final int ENDED = 0, BAD = 1, SPENT = 2;
+    private static final double LINES = 0.67, URGENT = 0.85; // parts of the channel's limits: see mayWrite
 
     /** All that is known of a host. */
     private static final class Host {
@@ -111,15 +112,16 @@
             addTablesFor(k);
         }
         rules = List.of(
-                each(h -> h.told && !h.out, h -> withdraw(h, true)),
+                each(h -> h.told && !h.out && mayWriteAll(1), h -> withdraw(h, true)),
                 each(this::fails, this::markSick),
                 each(this::isSlow, h -> setShare(h, 0.5 * h.share)),
                 each(this::wasSlow, h -> setShare(h, Math.min(1, 2 * h.share))),
-                each(h -> h.sick && !h.out && spared(h), h -> withdraw(h, true)),
+                each(h -> h.sick && !h.out && spared(h) && mayWriteAll(URGENT), h -> withdraw(h, true)),
                 each(h -> h.sick && h.running && now >= h.backAt, h -> startTrial(h, 0.15)),
                 each(this::passesTrial, this::growShare),
                 each(h -> h.sick && h.out && isLast(h), h -> startTrial(h, 1)),
-                each(h -> h.running && !h.out && inTables(h) && keptFromStorm(h), h -> withdraw(h, true)),
+                each(h -> h.running && !h.out && inTables(h) && keptFromStorm(h) && mayWriteAll(URGENT),
+                        h -> withdraw(h, true)),
                 this::cutRestarted,
                 this::bindProxies,
                 this::sendSubUpdate,
@@ -518,7 +520,7 @@
         boolean fired = false;
         for (Table t : tables) {
             for (Host h : hosts) {
-                if (!h.out && wanted(h, t) > 0 && wanted(h, t) < 0.6 * laid(h, t)) {
+                if (!h.out && wanted(h, t) > 0 && wanted(h, t) < 0.6 * laid(h, t) && mayWriteAll(URGENT)) {
                     lay(h, t, wanted(h, t));
                     fired = true;
                 }
@@ -629,7 +631,7 @@
             boolean room = unbound(t).allMatch(p -> p.bound[t.index] == -1 || hasRoom(p, t, length(t)));
             for (Proxy p : unbound(t).toList()) {
                 boolean joins = p.bound[t.index] == -1;
-                if ((joins || room && !lags(p)) && mayWrite(p, length(t) + 2, joins)) {
+                if ((joins || room && !lags(p)) && mayWrite(p, length(t) + 2, joins ? URGENT : LINES)) {
                     orders.bind(t.number, t.operations, proxies.indexOf(p));
                     p.bound[t.index] = t.number;
                     p.fresh += 1 + length(t) + operations.length;
@@ -668,13 +670,20 @@
         return (now < lostUntil ? lostLines : 0) + joined().mapToDouble(p -> p.fresh + linesOut(p)).sum();
     }
 
-    /** The last tenth of the queue and the last third of the cap are kept for withdrawals. */
-    private boolean mayWrite(Proxy p, double lines, boolean urgent) {
+    /**
+     * Guards against a full queue and too many messages to one proxy. Each kind of order may use a part of
+     * both limits: lines two thirds, so that joining proxies and health have room; those leave some for drains.
+     */
+    private boolean mayWrite(Proxy p, double lines, double part) {
         while (!p.written.isEmpty() && p.written.peek() <= now - messagesOver - 1) {
             p.written.poll();
         }
-        return waiting() + lines + perMessage <= (urgent ? 0.9 : 0.6) * mostWaiting
-                && (messagesMost == 0 || p.written.size() < (urgent ? 0.9 : 0.67) * messagesMost);
+        return waiting() + lines + perMessage <= part * mostWaiting && (messagesMost == 0 || p.fresh > 0
+                || p.written.size() < Math.floor(part * messagesMost)); // what is begun takes no further one
+    }
+
+    private boolean mayWriteAll(double part) {
+        return joined().allMatch(p -> mayWrite(p, joined().count(), part));
     }
 
     /** Guards against a batch held for all by one proxy that is slow, frozen or cut off: it is left out. */
@@ -691,7 +700,7 @@
 
     private boolean allHaveRoom(Table t, double lines) {
         List<Proxy> users = users(t);
-        return users.stream().allMatch(p -> mayWrite(p, lines * users.size(), false) && hasRoom(p, t, lines));
+        return users.stream().allMatch(p -> mayWrite(p, lines * users.size(), LINES) && hasRoom(p, t, lines));
     }
 
     /** One barrier request for all messages of this reply; each proxy concerned answers it. */
--- a/src/test/java/linenring/plan/BalanceTest.java
+++ b/src/test/java/linenring/plan/BalanceTest.java
@@ -187,6 +187,23 @@
         assertTrue(f.out.contains(5));
     }
 
+    @Test
+    void healthLeavesRoomUnderTheCapForADrain() {
+        FakeHost f = new FakeHost(figures(10)).fleet(30, 1);
+        int before = f.barriers;
+        for (int h = 0; h < 12; h++) { // another one fails every half second
+            for (int all = 0; all < 30; all++) {
+                f.balance.tally(all, 0, 10, all <= h ? 10 : 0, 100);
+            }
+            f.pass(500);
+        }
+        assertTrue(f.barriers - before <= 8);
+        f.drains(29);
+        f.settle();
+        assertTrue(f.out.contains(29));
+        assertTrue(f.barriers - before <= 10);
+    }
+
     @Test
     void aFailingHostIsWithdrawnAndTriedAgainWithLittle() {
         FakeHost f = new FakeHost(figures(0)).fleet(6, 2);
