--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -672,7 +672,7 @@
 
     /**
      * Guards against a full queue and too many messages to one proxy. Each kind of order may use a part of
-     * both limits: lines two thirds, so that joining proxies and health have room; those leave some for drains.
+     * both limits: lines two thirds, so that joins and health have room; those leave some for drains.
      */
     private boolean mayWrite(Proxy p, double lines, double part) {
         while (!p.written.isEmpty() && p.written.peek() <= now - messagesOver - 1) {
