After a cut of the levels the sums start anew; one cut may go down to 0.4

Cause: a jam's late tries, still in the sums 4 s after a cut, made a second cut; and a deep jam, where few tries end, was never cut again because of the guard against that. Now sums are dropped 3 s after a cut, judged 4.5 s after it, and the guard is gone.

--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -85,7 +85,8 @@
     private double lostLines, lostUntil; // written to streams since lost: they may still wait in the channel
     private boolean wholeList, following;
     private int mark, lastNumber;
-    private double letIn = 1, levelAt, endedWell, objective = 1000, quickest = 0.2; // until the first sums
+    private double letIn = 1, levelAt, forgetAt = Double.POSITIVE_INFINITY;
+    private double endedWell, objective = 1000, quickest = 0.2; // until the first sums
     private final double[] opLevel;
 
     public Balance(StartFigures start, Orders orders) {
@@ -766,17 +767,23 @@
         boolean storm = good < ended - 0.3 * Math.max(20, ended) || late > Math.max(0.45, 4 * quickest);
         stormUntil = storm ? now + 3000 : stormUntil; // a fifth of the hosts dead makes less of one
         lateUntil = late > Math.max(0.3, 2.5 * quickest) ? now + 3000 : lateUntil;
+        if (now >= forgetAt) {
+            forgetAt = Double.POSITIVE_INFINITY;
+            hosts.forEach(h -> fade(h, 0)); // what ended till now was let in before the cut
+            return true;
+        }
         if (ended < 20 || rate <= 0 || now < levelAt) {
             return false;
         }
         double before = letIn;
         endedWell = Math.max(endedWell * 0.998, good);
-        if (late > 0.5 && ended > 0.7 * endedWell) {
-            letIn = Math.max(0.1, letIn * Math.max(0.6, Math.min(0.55 / late, 0.95 * good / ended)));
+        if (late > 0.5) {
+            letIn = Math.max(0.1, letIn * Math.max(0.4, Math.min(0.55 / late, 0.95 * good / ended)));
         } else if (late < 0.4 && letIn < 1) {
             letIn = Math.min(1, letIn * (1 + (0.45 - late) * (ended < 0.8 * endedWell ? 1 : 0.4)));
         }
-        levelAt = now + (letIn < before ? 4000 : 1500); // what is in the queues ends, the sums come and fade
+        forgetAt = letIn < before ? now + 3000 : forgetAt;
+        levelAt = now + (letIn < before ? 4500 : 1500); // what is in the queues ends, the sums come and fade
         spreadLevels((1 - letIn) * work);
         return letIn != before;
     }
