--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -92,7 +92,7 @@
     public Balance(StartFigures start, Orders orders) {
         this.orders = orders;
         operations = start.operations().toArray(new Operation[0]);
-        measure = start.letting().measure();
+        measure = start.measure();
         pace = start.channel().pace() / 1000;
         perMessage = start.channel().perMessage() + 1; // and one for the barrier request
         mostWaiting = start.channel().mostWaiting();
--- a/src/main/java/linenring/wirehost/StartReader.java
+++ b/src/main/java/linenring/wirehost/StartReader.java
@@ -2,11 +2,8 @@
 
 import java.util.ArrayList;
 import java.util.List;
-import linenring.plan.Orders.FurtherTries;
 import linenring.plan.StartFigures;
-import linenring.plan.StartFigures.Effect;
 import linenring.plan.StartFigures.Measure;
-import linenring.plan.StartFigures.Sharing;
 
 /** Reads the figures of a {@code provision} line. What is absent gets the value that changes nothing. */
 final class StartReader {
@@ -24,55 +21,24 @@
         List<StartFigures.Operation> operations = new ArrayList<>();
         for (int k = 0; k < count; k++) {
             String at = "Classes." + k + ".";
-            operations.add(new StartFigures.Operation(
-                    in.millis(at + "Aim", 1000), in.millis(at + "Deadline", 5000),
-                    in.number(at + "Points", 1), in.number(at + "LateValue", 0),
-                    effect(in, at + "Effect"), sharing(in, at + "Group"),
-                    in.millis(at + "Window", 0), mask(in, at + "OnlyZones", zones),
-                    mask(in, at + "OnlyKinds", kinds), k < home.length && home[k].equals("true"),
-                    zones.length));
+            operations.add(new StartFigures.Operation(in.millis(at + "Aim", 1000),
+                    in.number(at + "Points", 1), mask(in, at + "OnlyZones", zones),
+                    mask(in, at + "OnlyKinds", kinds), k < home.length && home[k].equals("true"), zones.length));
         }
-        int usual = Math.min(in.index("Specifics.UsualHow", 1), FurtherTries.values().length - 1);
-        return new StartFigures(in.whole("Entropy"), operations,
-                new StartFigures.Goal(in.number("ScoreParts.Whole", 1),
-                        in.number("ScoreParts.WorstWindow", 0), in.number("ScoreParts.WorstClass", 0)),
-                new StartFigures.ColdStart(in.number("Contract.ColdFrom", 1), in.millis("Contract.Cold", 0),
-                        in.number("Contract.FallMultiple", 1e9), in.millis("Contract.Fall", 1000)),
+        return new StartFigures(operations,
+                new StartFigures.ColdStart(in.number("Contract.ColdFrom", 1), in.millis("Contract.Cold", 0)),
                 new StartFigures.Channel(in.number("Specifics.PushRate", 1e6),
                         in.number("Specifics.PerMessage", 0), in.number("Specifics.MostWaiting", 1e9),
-                        in.index("Specifics.UpdateCap", 0),
-                        in.millis("Specifics.CountedOver", 10000), in.millis("Specifics.Propagation", 0),
-                        in.millis("Specifics.TransitMax", 0), in.millis("Contract.StopSendingWithin", 1000),
-                        in.millis("Specifics.UnservedMax", 1000)),
-                new StartFigures.Reports(in.millis("Specifics.Interval", 1000),
-                        in.number("Specifics.ReportsPerS", 1e9)),
+                        in.index("Specifics.UpdateCap", 0), in.millis("Specifics.CountedOver", 10000),
+                        in.millis("Specifics.Propagation", 0), in.millis("Specifics.TransitMax", 0),
+                        in.millis("Contract.StopSendingWithin", 1000)),
                 new StartFigures.Slices(in.index("Specifics.Ranges", 0),
                         in.flag("Specifics.SingleWriter", false), in.millis("Specifics.Lease", 0),
                         in.millis("Specifics.Lingers", 0)),
-                new StartFigures.Letting(measure(in), in.number("Specifics.TryFactor", 1),
-                        FurtherTries.values()[usual]),
-                "on_request".equals(in.find("Discovery")), in.millis("Contract.MustAskIn", 0),
+                measure(in), "on_request".equals(in.find("Discovery")), in.millis("Contract.MustAskIn", 0),
                 in.flag("Contract.DroppedStayOpen", false));
     }
 
-    private static Effect effect(WireLine in, String field) {
-        String word = in.find(field);
-        return switch (word == null ? "" : word) {
-            case "retryable" -> Effect.IDEMPOTENT;
-            case "dedup" -> Effect.FINGERPRINTED;
-            default -> Effect.SIDE_EFFECTING;
-        };
-    }
-
-    private static Sharing sharing(WireLine in, String field) {
-        String word = in.find(field);
-        return switch (word == null ? "" : word) {
-            case "all" -> Sharing.ALL;
-            case "zone" -> Sharing.ZONE;
-            default -> Sharing.BAY;
-        };
-    }
-
     private static Measure measure(WireLine in) {
         String word = in.find("Specifics.ThrottleBy");
         return switch (word == null ? "" : word) {
--- a/src/test/java/linenring/plan/BalanceTest.java
+++ b/src/test/java/linenring/plan/BalanceTest.java
@@ -9,8 +9,6 @@
 
 import java.util.Set;
 import linenring.plan.Orders.FurtherTries;
-import linenring.plan.StartFigures.Effect;
-import linenring.plan.StartFigures.Sharing;
 import org.junit.jupiter.api.Test;
 
 class BalanceTest {
@@ -135,17 +133,15 @@
 
     @Test
     void anOperationConfinedToAZoneHasATableOfThatZoneAlone() {
-        FakeHost f = new FakeHost(figures(0, operation(Effect.IDEMPOTENT, Sharing.ALL, 0, 1, ALL),
-                operation(Effect.SIDE_EFFECTING, Sharing.ALL, 0, 3, 1))).fleet(6, 3);
+        FakeHost f = new FakeHost(figures(0, operation(1, ALL), operation(3, 1))).fleet(6, 3);
         assertEquals(2, f.tables.size());
         assertEquals(Set.of(0, 2, 4), f.tables.get(f.bound.get(0)).keySet());
     }
 
     @Test
     void nothingIsTriedAgainWithoutProofThatItNeverRan() {
-        FakeHost f = new FakeHost(figures(0, operation(Effect.IDEMPOTENT, Sharing.ALL, 0, 1, ALL),
-                operation(Effect.SIDE_EFFECTING, Sharing.ALL, 9000, 1, ALL),
-                operation(Effect.FINGERPRINTED, Sharing.ZONE, 9000, 1, ALL))).fleet(4, 1);
+        FakeHost f = new FakeHost(figures(0, operation(1, ALL), operation(1, ALL), operation(1, ALL)));
+        f.fleet(4, 1);
         assertEquals(Set.of(1, 2, 4), f.tries.keySet());
         assertEquals(Set.of(FurtherTries.ONE_ON_PROOF), Set.copyOf(f.tries.values()));
     }
@@ -245,8 +241,7 @@
 
     @Test
     void overloadTurnsAwayWhatEarnsLeastAndLetsItInAgain() {
-        FakeHost f = new FakeHost(figures(0, operation(Effect.IDEMPOTENT, Sharing.ALL, 0, 1, ALL),
-                operation(Effect.SIDE_EFFECTING, Sharing.ALL, 0, 3, ALL))).fleet(4, 1);
+        FakeHost f = new FakeHost(figures(0, operation(1, ALL), operation(3, ALL))).fleet(4, 1);
         for (int s = 0; s < 4; s++) {
             f.balance.traffic(0, 0, 1000, 50);
             f.balance.traffic(0, 1, 1000, 20);
--- a/src/test/java/linenring/plan/FakeHost.java
+++ b/src/test/java/linenring/plan/FakeHost.java
@@ -5,9 +5,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.TreeSet;
-import linenring.plan.StartFigures.Effect;
 import linenring.plan.StartFigures.Operation;
-import linenring.plan.StartFigures.Sharing;
 
 /** The tiny fake host that all stories play against: it carries out orders at once and remembers them. */
 final class FakeHost implements Orders {
@@ -30,8 +28,8 @@
         balance = new Balance(figures, this);
     }
 
-    static Operation operation(Effect effect, Sharing sharing, double window, double value, long zones) {
-        return new Operation(1000, 4000, value, 0.1, effect, sharing, window, zones, ALL, false, 2);
+    static Operation operation(double value, long zones) {
+        return new Operation(1000, value, zones, ALL, false, 2);
     }
 
     static StartFigures figures(int messagesMost, Operation... operations) {
@@ -39,13 +37,10 @@
     }
 
     static StartFigures figures(int messagesMost, StartFigures.Slices slices, Operation... operations) {
-        List<Operation> all = operations.length > 0 ? List.of(operations)
-                : List.of(operation(Effect.IDEMPOTENT, Sharing.ALL, 0, 1, ALL));
-        return new StartFigures(7, all, new StartFigures.Goal(1, 0, 0),
-                new StartFigures.ColdStart(0.2, 10_000, 3, 2000),
-                new StartFigures.Channel(1000, 4, 1500, messagesMost, 10_000, 100, 250, 2000, 4000),
-                new StartFigures.Reports(1000, 500), slices,
-                new StartFigures.Letting(StartFigures.Measure.SHARE, 1, FurtherTries.ONE_ON_PROOF), false, 0, false);
+        return new StartFigures(operations.length > 0 ? List.of(operations) : List.of(operation(1, ALL)),
+                new StartFigures.ColdStart(0.2, 10_000),
+                new StartFigures.Channel(1000, 4, 1500, messagesMost, 10_000, 100, 250, 2000),
+                slices, StartFigures.Measure.SHARE, false, 0, false);
     }
 
     /** A fleet of warm hosts, the even ones in zone 0 and the odd ones in zone 1, and joined proxies. */
@@ -85,13 +80,14 @@
         return this;
     }
 
-    /** Lets time pass in steps of 100 ms; barriers are answered at the next step, but not by silent proxies. */
+    /** Lets time pass in steps of 100 ms; barriers are answered at the next one, but not by silent proxies. */
     FakeHost pass(double ms) {
         for (double end = now + ms; now < end; ) {
             now += 100;
             balance.clock(now);
             if (pending >= 0) {
-                joined.stream().filter(p -> !silent.contains(p)).forEach(p -> balance.inForce(p, pending, 200));
+                joined.stream().filter(p -> !silent.contains(p))
+                        .forEach(p -> balance.inForce(p, pending, 200));
             }
             balance.alarm();
             balance.settle();
