--- a/src/test/java/linenring/plan/FakeHost.java
+++ b/src/test/java/linenring/plan/FakeHost.java
@@ -80,7 +80,7 @@
         return this;
     }
 
-    /** Lets time pass in steps of 100 ms; barriers are answered at the next one, but not by silent proxies. */
+    /** Lets time pass in steps of 100 ms; barriers are answered a step later, but not by silent proxies. */
     FakeHost pass(double ms) {
         for (double end = now + ms; now < end; ) {
             now += 100;
