--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -118,7 +118,8 @@
                 each(this::isSlow, h -> setShare(h, 0.5 * h.share)),
                 each(this::wasSlow, h -> setShare(h, Math.min(1, 2 * h.share))),
                 each(h -> h.sick && !h.out && spared(h) && mayWriteAll(URGENT), h -> withdraw(h, true)),
-                each(h -> h.sick && h.running && now >= h.backAt, h -> startTrial(h, 0.15)),
+                each(h -> h.sick && h.running && now >= h.backAt,
+                        h -> startTrial(h, h.bears < 1 ? h.bears : 0.15)),
                 each(this::passesTrial, this::growShare),
                 each(h -> h.sick && h.out && isLast(h), h -> startTrial(h, 1)),
                 each(h -> h.running && !h.out && inTables(h) && keptFromStorm(h) && mayWriteAll(URGENT),
@@ -426,7 +427,10 @@
         h.backAt = now + 3000 * Math.pow(1.5, Math.min(4, h.strikes++)); // 3 s, up to 15 s for what stays bad
     }
 
-    /** With a share of 0.15 a host has a try a second or so: enough to judge by soon, little to lose. */
+    /**
+     * With a share of 0.15 a host has a try a second or so: enough to judge by soon, little to lose. A weak one
+     * is tried at its half, as it went for want of strength: fewer changes of weight.
+     */
     private void startTrial(Host h, double share) {
         h.sick = false;
         h.trialSince = now;
@@ -456,7 +460,7 @@
     }
 
     private boolean wasSlow(Host h) {
-        return steady(h) && h.share < 1 && now > h.restUntil + 20_000 && sum(h, ENDED) >= 4
+        return steady(h) && h.share < 1 && now > h.restUntil + 40_000 && sum(h, ENDED) >= 4
                 && lateness(h) < best(0.33, this::lateness);
     }
 
