--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -428,8 +428,8 @@
     }
 
     /**
-     * With a share of 0.15 a host has a try a second or so: enough to judge by soon, little to lose. A weak one
-     * is tried at its half, as it went for want of strength: fewer changes of weight.
+     * With a share of 0.15 a host has a try a second or so: enough to judge by soon, little to lose. A weak
+     * one is tried at its half, as it went for want of strength: fewer changes of weight.
      */
     private void startTrial(Host h, double share) {
         h.sick = false;
--- a/src/main/java/linenring/wirehost/StartReader.java
+++ b/src/main/java/linenring/wirehost/StartReader.java
@@ -22,7 +22,8 @@
         for (int k = 0; k < count; k++) {
             String at = "Classes." + k + ".";
             operations.add(new StartFigures.Operation(in.millis(at + "Aim", 1000),
-                    in.number(at + "Points", 1), mask(in, at + "OnlyZones", zones),
+                    in.number(at + "Points", 1),
+                    mask(in, at + "OnlyZones", zones),
                     mask(in, at + "OnlyKinds", kinds), k < home.length && home[k].equals("true"), zones.length));
         }
         return new StartFigures(operations,
