--- a/src/main/java/linenring/wirehost/StartReader.java
+++ b/src/main/java/linenring/wirehost/StartReader.java
@@ -24,7 +24,8 @@
             operations.add(new StartFigures.Operation(in.millis(at + "Aim", 1000),
                     in.number(at + "Points", 1),
                     mask(in, at + "OnlyZones", zones),
-                    mask(in, at + "OnlyKinds", kinds), k < home.length && home[k].equals("true"), zones.length));
+                    mask(in, at + "OnlyKinds", kinds),
+                    k < home.length && home[k].equals("true"), zones.length));
         }
         return new StartFigures(operations,
                 new StartFigures.ColdStart(in.number("Contract.ColdFrom", 1), in.millis("Contract.Cold", 0)),
