Fleet sums reckoned once for each input; heads counted; one gap for all messages to all

Change: figures of the fleet reckoned once, account kept as it changes, one gap (a round trip, the cap, a quarter of the channel for heads) before a message to all, what is due rides along with a drain, proxies that are asked most bound first. Also guards against: any fleet of troubles that come one by one. Could harm: a withdrawal for health waits up to the gap.

--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -12,7 +12,6 @@
 import java.util.function.ToDoubleFunction;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
-import java.util.zip.CRC32;
 import linenring.plan.Orders.FurtherTries;
 import linenring.plan.StartFigures.Measure;
 import linenring.plan.StartFigures.Operation;
@@ -29,11 +28,12 @@
  */
 public final class Balance {
     private static final int ENDED = 0, BAD = 1, SPENT = 2;
-    private static final double LINES = 0.67, URGENT = 0.85; // parts of the channel's limits: see mayWrite
+    private static final double LINES = 0.67, URGENT = 0.85; // of the limits: joins, then drains have room
 
     /** All that is known of a host. */
     private static final class Host {
-        int id, zone, kind;
+        final int id;
+        int zone, kind;
         double weight = 1, started = Double.NEGATIVE_INFINITY;
         boolean running, told, inList;  // listed ready; told it drains or is gone; in the list being read
         boolean out, sick;              // shut out at the proxies; to be shut out for its health
@@ -43,6 +43,10 @@
         double restUntil;               // no judging of its lateness before that
         double[][] met = {{}, {}, {}};  // late sums (ENDED, BAD, SPENT) by zone of the proxies
         double[] laid = {};             // weight in each shared table, as last sent
+
+        Host(int id) {
+            this.id = id;
+        }
     }
 
     /** A message to a proxy that it has not answered yet. */
@@ -50,24 +54,38 @@
     }
 
     private static final class Proxy {
+        final int id;
         int zone;
-        boolean joined;
         int[] bound = {};               // number it is bound to, by shared table; -1 for none
-        double[] asked = {};            // invocations a second, by operation
-        double fresh;                   // lines ordered for it in this reply
+        final double[] asked;           // invocations a second, by operation
+        double usual;                   // invocations a second, about, as told when it joined
+        double fresh, out;              // lines ordered for it in this reply; lines not answered yet
         final Deque<Message> unanswered = new ArrayDeque<>();
         final Deque<Double> written = new ArrayDeque<>(); // times of the messages that the cap counts
+
+        Proxy(int id, int operations) {
+            this.id = id;
+            asked = new double[operations];
+        }
     }
 
     /** A shared table, for the operations open to the same hosts; its number changes when laid anew. */
     private static final class Table {
-        int index, operations, number, old = -1;
-        int homeZone = -1;              // that of the proxies and hosts it is for, or -1
-        boolean mine = true;            // slices: in this steward's charge
+        final int index, operations, homeZone; // homeZone: that of the proxies and hosts it is for, or -1
+        int number, length, old = -1;
         Host owner;                     // slices: the host of its one line
-        double sentAt = Double.NEGATIVE_INFINITY, ownerless;
-        double[] letIn;
+        double weightListed, weightIn, warmIn; // of its open hosts: all that run; not shut out; and warm
+        double ownerless;
+        final double[] letIn;
         FurtherTries tries;
+
+        Table(int index, int operations, int homeZone, int number, int count) {
+            this.index = index;
+            this.operations = operations;
+            this.homeZone = homeZone;
+            this.number = number;
+            letIn = new double[count];
+        }
     }
 
     private final Orders orders;
@@ -79,11 +97,14 @@
     private final boolean goneNeedNotStop, sliced;
     private final List<Host> hosts = new ArrayList<>();
     private final List<Proxy> proxies = new ArrayList<>();
+    private List<Proxy> joined = List.of();
     private final List<Table> tables = new ArrayList<>();
     private final List<BooleanSupplier> rules;
-    private double now, fadedAt, roundTrip, alarmAt = -1, askedAt, stormUntil = -1, lateUntil;
-    private double lostLines, lostUntil; // written to streams since lost: they may still wait in the channel
-    private boolean wholeList, following;
+    private double now, sentAt = Double.NEGATIVE_INFINITY, fadedAt, roundTrip, alarmAt = -1, askAt;
+    private double stormUntil = -1, lateUntil;
+    private boolean wholeList, stale = true; // stale: sums or hosts have changed, reckon anew
+    private double waiting;                             // lines that may still wait in the channel
+    private double reckonedAt, usualLate, mostLate, usualBad, ended, bad, warmth;
     private int mark, lastNumber;
     private double letIn = 1, levelAt, forgetAt = Double.POSITIVE_INFINITY;
     private double endedWell, objective = 1000, quickest = 0.2; // until the first sums
@@ -103,7 +124,8 @@
         coldShare = start.cold().startsAt();
         warmAfter = start.cold().warmAfter();
         goneNeedNotStop = start.goneNeedNotStop();
-        askEvery = start.listMustBeAsked() ? start.askListWithin() / 3 : 1e18; // two calls may fail
+        askEvery = start.askListWithin() / 3; // two calls may fail
+        askAt = start.listMustBeAsked() ? 0 : Double.POSITIVE_INFINITY;
         sliced = start.slices().count() > 0;
         ownerAfter = !start.slices().singleOwner() ? -1
                 : start.slices().lease() + start.slices().lingers() + start.channel().grace();
@@ -113,34 +135,34 @@
             addTablesFor(k);
         }
         rules = List.of(
-                each(h -> h.told && !h.out && mayWriteAll(1), h -> withdraw(h, true)),
+                each(h -> h.told && !h.out && mayWrite(joined, 1, 1), h -> withdraw(h, true)),
                 each(this::fails, this::markSick),
                 each(this::isSlow, h -> setShare(h, 0.5 * h.share)),
                 each(this::wasSlow, h -> setShare(h, Math.min(1, 2 * h.share))),
-                each(h -> h.sick && !h.out && spared(h) && mayWriteAll(URGENT), h -> withdraw(h, true)),
+                each(h -> h.sick && !h.out && mayTrouble() && spared(h), h -> withdraw(h, true)),
                 each(h -> h.sick && h.running && now >= h.backAt,
                         h -> startTrial(h, h.bears < 1 ? h.bears : 0.15)),
                 each(this::passesTrial, this::growShare),
                 each(h -> h.sick && h.out && isLast(h), h -> startTrial(h, 1)),
-                each(h -> h.running && !h.out && inTables(h) && keptFromStorm(h) && mayWriteAll(URGENT),
+                each(h -> h.running && !h.out && inTables(h) && keptFromStorm(h) && mayTrouble(),
                         h -> withdraw(h, true)),
                 this::cutRestarted,
+                this::placeSlices,
                 this::bindProxies,
                 this::sendSubUpdate,
+                each(h -> backIn(h) && mayTrouble(), h -> withdraw(h, false)),
                 this::clearOld,
-                this::placeSlices,
                 this::setLevels,
-                this::askForList,
+                this::followList,
                 this::requestBarrier,
                 this::setAlarm);
     }
 
     private BooleanSupplier each(Predicate<Host> when, Consumer<Host> then) {
-        return () -> {
-            List<Host> found = hosts.stream().filter(when).toList();
-            found.stream().filter(when).forEach(then); // what was done for one may settle it for the next
-            return !found.isEmpty();
-        };
+        return () -> hosts.stream().filter(when).mapToInt(h -> {
+            then.accept(h);
+            return 1;
+        }).sum() > 0;
     }
 
     // ---- what is seen
@@ -151,7 +173,6 @@
         if (stormUntil < 0) {
             stormUntil = now + 4000; // a fresh start knows nothing: by then the first sums have come,
             lateUntil = now + 10_000; // and by then a trend shows
-            askedAt = now - askEvery;
         }
         if (now - fadedAt >= 100) { // no finer than the alarms
             double keep = Math.pow(0.5, (now - fadedAt) / 1500);
@@ -162,21 +183,17 @@
 
     public void settle() {
         boolean fired = true;
-        for (int pass = 0; fired; pass++) {
+        for (int pass = 0; fired && pass < 1000; pass++) { // each rule ends its own condition far sooner
             fired = false;
             for (BooleanSupplier rule : rules) {
                 fired |= rule.getAsBoolean();
             }
-            if (pass > 1000) { // each rule ends its own condition; no list is that long
-                throw new IllegalStateException("the rules do not come to rest");
-            }
         }
     }
 
     public void listOpens(boolean whole) {
         wholeList = whole;
         hosts.forEach(h -> h.inList = false);
-        askedAt = now;
     }
 
     public void running(int id, int zone, int kind, double weight, double started) {
@@ -193,56 +210,57 @@
     }
 
     public void stopping(int id, int zone, int kind, double weight) {
-        Host h = listed(id, zone, kind, weight);
-        h.running = false;
-        h.told = true;
+        drop(listed(id, zone, kind, weight));
     }
 
     public void gone(int id) {
         Host h = host(id);
         h.inList = true;
         if (!goneNeedNotStop || !h.running) {
-            h.running = false;
-            h.told = true;
+            drop(h);
         }
     }
 
-    public void listCloses() {
-        hosts.stream().filter(h -> wholeList && !h.inList).forEach(h -> gone(h.id));
+    private void drop(Host h) {
+        h.running = false;
+        h.told = stale = true;
     }
 
-    public void listFailed() {
-        following = false;
+    public void listCloses() {
+        hosts.stream().filter(h -> wholeList && !h.inList).forEach(h -> gone(h.id));
     }
 
-    public void joined(int id, int zone) {
+    /** The proxies that are asked most come first: of binds, which are all of one size, these pay most. */
+    public void joined(int id, int zone, double usual) {
         lost(id);
         Proxy p = proxy(id);
         p.zone = zone;
-        p.joined = true;
+        p.usual = usual;
         p.bound = new int[tables.size()];
         Arrays.fill(p.bound, -1);
+        joined = Stream.concat(joined.stream(), Stream.of(p))
+                .sorted(Comparator.comparingDouble(o -> -o.usual)).toList();
     }
 
     /** Guards against answers that cannot come: a lost stream frees its windows at once. */
     public void lost(int id) {
         Proxy p = proxy(id);
-        if (!p.unanswered.isEmpty()) {
-            lostLines = (now < lostUntil ? lostLines : 0) + linesOut(p);
-            lostUntil = now + 4 * transitMost; // a channel at a quarter of its pace has let them go
-        }
+        waiting -= p.out + (p.fresh > 0 ? p.fresh + perMessage : 0);
         p.unanswered.clear();
         p.written.clear();
-        p.joined = false;
-        p.fresh = 0;
+        p.fresh = p.out = 0;
+        joined = joined.stream().filter(o -> o != p).toList();
     }
 
     public void inForce(int id, int answered, double tookMs) {
-        Deque<Message> unanswered = proxy(id).unanswered;
-        if (unanswered.stream().anyMatch(m -> m.mark() == answered)) {
-            while (unanswered.poll().mark() != answered) { // what was sent before is applied too
-                continue;
-            }
+        Proxy p = proxy(id);
+        if (p.unanswered.stream().anyMatch(m -> m.mark() == answered)) {
+            Message m;
+            do { // what was sent before is applied too
+                m = p.unanswered.poll();
+                p.out -= m.lines();
+                waiting -= m.lines();
+            } while (m.mark() != answered);
             roundTrip += 0.2 * (tookMs - roundTrip); // smoothed over about the last five answers
         }
     }
@@ -254,6 +272,7 @@
             h.met[i] = h.met[i].length > zone ? h.met[i] : Arrays.copyOf(h.met[i], zone + 1);
             h.met[i][zone] += met[i];
         }
+        stale = true;
     }
 
     public void traffic(int id, int operation, double span, int total) {
@@ -261,30 +280,23 @@
         asked[operation] += 0.3 * (1000 * total / Math.max(1, span) - asked[operation]); // 3 reports
     }
 
-    public void alarm() {
-        alarmAt = -1;
-    }
-
     public void charge(int slice, boolean given) {
         Table t = sliceTable(slice);
-        t.mine = given;
         t.owner = null;
-        t.ownerless = now; // another steward's owner may still be writing
+        t.ownerless = given ? now : Double.POSITIVE_INFINITY; // another steward's owner may still be writing
         hosts.forEach(h -> setLaid(h, t, 0));
     }
 
     public void held(int slice, int id, double weight) {
-        Table t = sliceTable(slice);
-        t.owner = host(id);
-        setLaid(t.owner, t, weight);
+        sliceTable(slice).owner = host(id);
+        setLaid(host(id), sliceTable(slice), weight);
     }
 
     // ---- records
 
     private Host host(int id) {
         while (hosts.size() <= id) {
-            hosts.add(new Host());
-            hosts.get(hosts.size() - 1).id = hosts.size() - 1;
+            hosts.add(new Host(hosts.size()));
         }
         return hosts.get(id);
     }
@@ -292,6 +304,7 @@
     private Host listed(int id, int zone, int kind, double weight) {
         Host h = host(id);
         h.inList = true;
+        stale = true;
         h.zone = zone;
         h.kind = kind;
         h.weight = weight > 0 ? weight : 1;
@@ -300,21 +313,14 @@
 
     private Proxy proxy(int id) {
         while (proxies.size() <= id) {
-            proxies.add(new Proxy());
-            proxies.get(proxies.size() - 1).asked = new double[operations.length];
+            proxies.add(new Proxy(proxies.size(), operations.length));
         }
         return proxies.get(id);
     }
 
     private Table addTable(int mask, int homeZone, int number) {
-        Table t = new Table();
-        t.index = tables.size();
-        t.operations = mask;
-        t.homeZone = homeZone;
-        t.number = number;
-        t.letIn = new double[operations.length];
-        tables.add(t);
-        return t;
+        tables.add(new Table(tables.size(), mask, homeZone, number, operations.length));
+        return tables.get(tables.size() - 1);
     }
 
     /** Operations open to the same hosts share a table; one confined to the proxy's zone has one a zone. */
@@ -332,12 +338,17 @@
                 .orElseGet(() -> addTable(0, -1, slice));
     }
 
-    private Stream<Proxy> joined() {
-        return proxies.stream().filter(p -> p.joined);
+    private List<Proxy> users(Table t) {
+        return joined.stream().filter(p -> sliced || p.bound[t.index] == t.number).toList();
     }
 
-    private List<Proxy> users(Table t) {
-        return joined().filter(p -> sliced || p.bound[t.index] == t.number).toList();
+    private void order(Proxy p, double lines) {
+        waiting += cost(p, lines);
+        p.fresh += lines;
+    }
+
+    private double cost(Proxy p, double lines) {
+        return lines + (p.fresh > 0 ? 0 : perMessage); // what is begun takes no further message
     }
 
     private boolean open(Host h, Table t) {
@@ -352,6 +363,7 @@
 
     private void setLaid(Host h, Table t, double weight) {
         h.laid = h.laid.length > t.index ? h.laid : Arrays.copyOf(h.laid, t.index + 1);
+        t.length += (weight > 0 ? 1 : 0) - (h.laid[t.index] > 0 ? 1 : 0);
         h.laid[t.index] = weight;
     }
 
@@ -359,22 +371,53 @@
         return Arrays.stream(h.laid).anyMatch(w -> w > 0);
     }
 
-    private int length(Table t) {
-        return (int) hosts.stream().filter(h -> laid(h, t) > 0).count();
-    }
-
     private static double sum(Host h, int what) {
-        return Arrays.stream(h.met[what]).sum();
+        double sum = 0;
+        for (double part : h.met[what]) {
+            sum += part;
+        }
+        return sum;
     }
 
-    private double sumAll(int what) {
-        return hosts.stream().filter(h -> h.running).mapToDouble(h -> sum(h, what)).sum();
+    private void fade(Host h, double keep) {
+        stale = true;
+        for (double[] sums : h.met) {
+            for (int z = 0; z < sums.length; z++) {
+                sums[z] *= keep;
+            }
+        }
     }
 
-    private static void fade(Host h, double keep) {
-        for (double[] sums : h.met) {
-            Arrays.setAll(sums, z -> sums[z] * keep);
+    /** The fleet's figures, which no rule works out for each host: once for each input that changes them. */
+    private void reckon() {
+        if (!stale && reckonedAt == now) {
+            return;
+        }
+        double listed = 0;
+        warmth = ended = bad = 0;
+        tables.forEach(t -> t.weightIn = t.weightListed = t.warmIn = 0);
+        for (Host h : hosts) {
+            if (h.running) {
+                ended += sum(h, ENDED);
+                bad += sum(h, BAD);
+                listed += h.out ? 0 : h.weight;
+                warmth += h.out ? 0 : h.weight * able(h);
+                for (Table t : tables) {
+                    double weight = open(h, t) ? h.weight : 0;
+                    t.weightListed += weight;
+                    t.weightIn += h.out ? 0 : weight;
+                    t.warmIn += h.out || !isWarm(h) ? 0 : weight;
+                }
+            }
+        }
+        warmth = listed > 0 ? warmth / listed : 1;
+        if (stale) {
+            usualLate = best(0.33, this::lateness);
+            usualBad = best(0.33, o -> sum(o, BAD) / sum(o, ENDED));
+            mostLate = best(0.62, this::lateness); // a third of them broken or cut off does not move it
         }
+        stale = false;
+        reckonedAt = now;
     }
 
     /** Where the best part of the hosts ends. In a jam all are bad; beside broken hosts the best are not. */
@@ -388,8 +431,9 @@
 
     private void withdraw(Host h, boolean out) {
         h.out = out;
+        stale = true;
         orders.withdraw(h.id, out);
-        joined().forEach(p -> p.fresh += 1);
+        joined.forEach(p -> order(p, 1));
     }
 
     // ---- 1 health from late sums and trial return
@@ -400,19 +444,18 @@
     }
 
     /**
-     * Guards against hosts that fail or swallow invocations while their process runs; it holds against any
-     * cause that shows as bad tries at one host and not at the best third. It could harm where a slow host is
-     * still needed: so one whose good answers are late goes only when it has hardly any.
+     * Guards against hosts that fail or swallow invocations, whatever shows as bad tries there and not at the
+     * best third. It could harm a slow host still needed: that goes only when all but all fail.
      */
     private boolean fails(Host h) {
-        double bad = sum(h, BAD);
-        double good = sum(h, ENDED) - bad;
-        if (!h.running || h.sick || bad < (h.trialSince >= 0 ? 2 : 4) || onlyFromSomeZones(h)) {
+        double failed = sum(h, BAD);
+        double good = sum(h, ENDED) - failed;
+        if (!h.running || h.sick || failed < (h.trialSince >= 0 ? 2 : 4) || onlyFromSomeZones(h)) {
             return false; // 4 bad tries, or 2 on trial, prove enough
         }
-        boolean quick = sum(h, SPENT) < 1.3 * good * objective * best(0.33, this::lateness);
-        double usual = best(0.33, o -> sum(o, BAD) / sum(o, ENDED));
-        return bad >= (good + bad) * Math.max(quick ? 0.3 : 0.97, 0.15 + 2.2 * usual);
+        reckon();
+        boolean quick = sum(h, SPENT) < 1.3 * good * objective * usualLate;
+        return failed >= (good + failed) * Math.max(quick ? 0.3 : 0.97, 0.15 + 2.2 * usualBad);
     }
 
     /** Bad from one zone and good from another: the way there is cut, the host is not broken. */
@@ -427,10 +470,7 @@
         h.backAt = now + 3000 * Math.pow(1.5, Math.min(4, h.strikes++)); // 3 s, up to 15 s for what stays bad
     }
 
-    /**
-     * With a share of 0.15 a host has a try a second or so: enough to judge by soon, little to lose. A weak
-     * one is tried at its half, as it went for want of strength: fewer changes of weight.
-     */
+    /** A share of 0.15 is a try a second or so: enough to judge by. A weak host is tried at its half. */
     private void startTrial(Host h, double share) {
         h.sick = false;
         h.trialSince = now;
@@ -450,22 +490,21 @@
     }
 
     /**
-     * Guards against a host that cannot bear its listed share while the best third can: it gets half, and
-     * keeps that until it is among the quickest. It could harm where a passing jam is taken for a weak host.
+     * Guards against a host that cannot bear its share while the best third can: it gets half until it is
+     * among the quickest. It could harm where a passing jam is taken for a weak host.
      */
     private boolean isSlow(Host h) {
-        double others = best(0.33, this::lateness);
-        return steady(h) && now > h.restUntil && sum(h, ENDED) >= 8 && h.share > 0.6 && others < 0.5
-                && lateness(h) > Math.max(0.55, 1.6 * others) && !onlyFromSomeZones(h);
+        return steady(h, 8) && now > h.restUntil && h.share > 0.6 && usualLate < 0.5
+                && lateness(h) > Math.max(0.55, 1.6 * usualLate) && !onlyFromSomeZones(h);
     }
 
     private boolean wasSlow(Host h) {
-        return steady(h) && h.share < 1 && now > h.restUntil + 40_000 && sum(h, ENDED) >= 4
-                && lateness(h) < best(0.33, this::lateness);
+        return steady(h, 4) && h.share < 1 && now > h.restUntil + 40_000 && lateness(h) < usualLate;
     }
 
-    private boolean steady(Host h) {
-        return h.running && !h.sick && h.trialSince < 0 && isWarm(h);
+    private boolean steady(Host h, double tries) {
+        reckon();
+        return h.running && !h.sick && h.trialSince < 0 && isWarm(h) && sum(h, ENDED) >= tries;
     }
 
     private void setShare(Host h, double share) {
@@ -485,14 +524,9 @@
         return isWarm(h) ? 1 : coldShare + (1 - coldShare) * Math.max(0, now - h.started) / warmAfter;
     }
 
-    private double sumIn(ToDoubleFunction<Host> figure) {
-        return hosts.stream().filter(h -> h.running && !h.out).mapToDouble(figure).sum();
-    }
-
     /**
-     * The listed weight; for a new host the design's ramp (half weight, full at 10 s), under what it can
-     * do. When many are cold at once all shares rise as their weights fall; so these fall once more by as
-     * much. When only a part of all tries ends well the rest comes again: a cold host gets that part of it.
+     * The listed weight; for a new host the design's ramp (half weight, full at 10 s), under what it can do,
+     * less where many are cold (all shares rise as theirs fall) or many tries fail (those come again).
      */
     private double wanted(Host h, Table t) {
         double age = Math.max(0, now - h.started);
@@ -501,46 +535,39 @@
         } else if (age >= Math.max(10_000, warmAfter)) {
             return h.weight * h.share;
         }
-        double all = sumIn(o -> o.weight);
-        double crowd = all > 0 ? sumIn(o -> o.weight * able(o)) / all : able(h);
-        double well = 1 - sumAll(BAD) / Math.max(20, sumAll(ENDED));
+        reckon();
+        double well = 1 - bad / Math.max(20, ended);
         double sure = able(h) * (0.5 + 0.5 * Math.min(1, age / warmAfter)); // a jam not seen yet doubles it
-        return h.weight * h.share * Math.min(0.5 + age / 20_000, sure) * crowd * Math.max(0.01, well);
+        return h.weight * h.share * Math.min(0.5 + age / 20_000, sure) * warmth * Math.max(0.01, well);
     }
 
     /**
-     * Guards against a cold host that is sent the repeats of all: in a storm proxies shun the hosts that
-     * failed them and fall on the one that has not. It waits outside while warm ones are in. It could harm
-     * where only the cold could end the storm; levels end it first.
+     * Guards against a cold host sent the repeats of all, by proxies that shun the hosts that failed them. It
+     * waits outside while warm ones are in. It could harm where only the cold could end a storm; levels do.
      */
     private boolean keptFromStorm(Host h) {
         boolean young = now - h.started < warmAfter / 3; // so cold that a jam's first seconds push it over
-        return now < (young ? Math.max(lateUntil, stormUntil) : stormUntil) && !isWarm(h)
-                && tables.stream().allMatch(t -> !open(h, t)
-                || hosts.stream().anyMatch(o -> o.running && !o.out && open(o, t) && isWarm(o)));
+        if (now >= (young ? Math.max(lateUntil, stormUntil) : stormUntil) || isWarm(h)) {
+            return false;
+        }
+        reckon();
+        return tables.stream().allMatch(t -> !open(h, t) || t.warmIn > 0);
     }
 
-    /** Guards against a restarted host that keeps its full weight: cut past the windows, as a withdrawal. */
+    /** Guards against a restarted or weak host that keeps its full weight: cut past the windows. */
     private boolean cutRestarted() {
-        boolean fired = false;
-        for (Table t : tables) {
-            for (Host h : hosts) {
-                if (!h.out && wanted(h, t) > 0 && wanted(h, t) < 0.6 * laid(h, t) && mayWriteAll(URGENT)) {
-                    lay(h, t, wanted(h, t));
-                    fired = true;
-                }
-            }
-        }
-        return fired;
+        return tables.stream().anyMatch(t -> each(h -> !h.out && h.running && wanted(h, t) < 0.6 * laid(h, t)
+                && (isWarm(h) ? mayTrouble() : mayWrite(joined, 1, URGENT)), h -> lay(h, t, wanted(h, t)))
+                .getAsBoolean());
     }
 
     // ---- 3 last-line guard
 
     /** A host may go for its health while half of the weight that each table can use stays in. */
     private boolean spared(Host h) {
+        reckon();
         return tables.stream().allMatch(t -> !open(h, t)
-                || sumIn(o -> o != h && open(o, t) ? o.weight : 0) >= 0.5
-                * hosts.stream().filter(o -> o.running && open(o, t)).mapToDouble(o -> o.weight).sum());
+                || t.weightIn - (h.running && !h.out ? h.weight : 0) >= 0.5 * t.weightListed);
     }
 
     /** Guards against a table left with none but sick hosts: they are let back in. */
@@ -553,14 +580,15 @@
 
     /** A line is due when it comes or goes, or its weight is off by an eighth: a ramp is a dozen steps. */
     private boolean due(Host h, Table t) {
-        double want = wanted(h, t);
-        double has = laid(h, t);
-        return (has > 0 || !keptFromStorm(h)) && ((want == 0) != (has == 0) || backIn(h)
+        double want = wanted(h, t), has = laid(h, t);
+        return (has > 0 || !keptFromStorm(h)) && ((want == 0) != (has == 0)
                 || Math.abs(want - has) > 0.12 * Math.max(want, has) || want == h.weight && has != want);
     }
 
+    /** A host comes back in when every table has its due weight. */
     private boolean backIn(Host h) {
-        return h.out && h.running && !h.sick && !keptFromStorm(h);
+        return h.out && h.running && !h.sick && !keptFromStorm(h)
+                && tables.stream().noneMatch(t -> due(h, t));
     }
 
     private boolean levelDue(Table t, int k) {
@@ -569,18 +597,21 @@
     }
 
     private int pending(Table t) {
-        return (int) (hosts.stream().filter(h -> due(h, t)).count()
-                + IntStream.range(0, operations.length).filter(k -> levelDue(t, k)).count());
+        int count = (int) IntStream.range(0, operations.length).filter(k -> levelDue(t, k)).count();
+        for (Host h : hosts) {
+            count += due(h, t) ? 1 : 0;
+        }
+        return count;
     }
 
     /** Lines not yet sent, by depth: binds have a step after them (2 with their own), the rest none (1). */
     private double unsent(Table t, int depth) {
-        return depth == 2 ? unbound(t).count() * (1.0 + length(t)) : pending(t) * users(t).size();
+        return depth == 2 ? unbound(t).count() * (1.0 + t.length) : pending(t) * users(t).size();
     }
 
     private Stream<Proxy> unbound(Table t) {
-        return joined().filter(p -> !sliced && p.bound[t.index] != t.number
-                && (t.homeZone < 0 || t.homeZone == p.zone) && length(t) > 0);
+        return joined.stream().filter(p -> !sliced && p.bound[t.index] != t.number
+                && (t.homeZone < 0 || t.homeZone == p.zone) && t.length > 0);
     }
 
     /** The depth rule: where binds would be last of all to finish, the table's other lines wait for them. */
@@ -593,30 +624,26 @@
         if (weight != laid(h, t)) {
             orders.line(t.number, h.id, weight);
             setLaid(h, t, weight);
-            users(t).forEach(p -> p.fresh += 1);
+            users(t).forEach(p -> order(p, 1));
         }
     }
 
-    /** The new lines, then who may use them: a host comes back in when every table has its due weight. */
     private void layDue(Table t) {
         hosts.stream().filter(h -> due(h, t)).forEach(h -> lay(h, t, wanted(h, t)));
         IntStream.range(0, operations.length).filter(k -> levelDue(t, k)).forEach(k -> layLevel(t, k));
         t.tries = tries();
-        t.sentAt = now;
-        hosts.stream().filter(h -> backIn(h) && tables.stream().allMatch(o -> laid(h, o) == wanted(h, o)))
-                .forEach(h -> withdraw(h, false));
     }
 
     /** The smallest pending sub-update goes first; each is sent whole, once all its proxies have room. */
     private boolean sendSubUpdate() {
         Table next = tables.stream()
-                .filter(t -> t.mine && pending(t) > 0 && now - t.sentAt >= gap() && !onlyBinds(t))
+                .filter(t -> gapOver() && pending(t) > 0 && !onlyBinds(t))
                 .filter(t -> allHaveRoom(t, pending(t)))
                 .min(Comparator.comparingDouble(t -> unsent(t, 1))).orElse(null);
         if (next == null) {
             return false;
         }
-        if (pending(next) > length(next) && length(next) > 0 && next.old == -1 && !sliced) {
+        if (pending(next) > next.length && next.length > 0 && next.old == -1 && !sliced) {
             next.old = next.number; // laid anew: its proxies are bound to it, and the old one is cleared
             next.number = ++lastNumber % 65535;
             hosts.forEach(h -> setLaid(h, next, 0));
@@ -626,20 +653,19 @@
         return true;
     }
 
-    /**
-     * A joining proxy is bound at once: its window is empty, and what it holds may name hosts that drain. The
-     * others move to a new table as a batch.
-     */
+    /** A joining proxy is bound at once, as it may hold hosts that drain; others move as a batch. */
     private boolean bindProxies() {
         boolean fired = false;
         for (Table t : tables) {
-            boolean room = unbound(t).allMatch(p -> p.bound[t.index] == -1 || hasRoom(p, t, length(t)));
+            double lines = 1 + t.length + operations.length // and the withdrawn hosts come along
+                    + hosts.stream().filter(h -> h.out && laid(h, t) > 0).count();
+            boolean room = unbound(t).allMatch(p -> p.bound[t.index] == -1 || hasRoom(p, t, t.length));
             for (Proxy p : unbound(t).toList()) {
                 boolean joins = p.bound[t.index] == -1;
-                if ((joins || room && !lags(p)) && mayWrite(p, length(t) + 2, joins ? URGENT : LINES)) {
-                    orders.bind(t.number, t.operations, proxies.indexOf(p));
+                if ((joins || room && !lags(p)) && mayWrite(List.of(p), lines, joins ? URGENT : LINES)) {
+                    orders.bind(t.number, t.operations, p.id);
                     p.bound[t.index] = t.number;
-                    p.fresh += 1 + length(t) + operations.length;
+                    order(p, lines);
                     fired = true;
                 }
             }
@@ -648,47 +674,45 @@
     }
 
     private boolean clearOld() {
-        boolean fired = false;
         for (Table t : tables) {
             if (t.old != -1 && unbound(t).findAny().isEmpty()
                     && users(t).stream().allMatch(p -> p.unanswered.isEmpty() || lags(p))) {
                 orders.wipe(t.old);
                 t.old = -1;
-                fired = true;
+                return true;
             }
         }
-        return fired;
+        return false;
     }
 
     // ---- 5 channel ledger
 
-    /** Later changes merge meanwhile: a round trip, or what spends 60% of the cap on messages. */
-    private double gap() {
-        return Math.max(roundTrip, messagesMost > 0 ? messagesOver / (0.6 * messagesMost) : 0);
+    /**
+     * Later changes merge meanwhile: a round trip, or what spends 60% of the cap on messages, or a quarter of
+     * the channel on their heads. What goes to all for another reason takes along what is due.
+     */
+    private boolean gapOver() {
+        double gap = Math.max(roundTrip, messagesMost > 0 ? messagesOver / (0.6 * messagesMost) : 0);
+        return now - sentAt >= Math.max(gap, 4 * joined.size() * perMessage / pace)
+                || joined.stream().allMatch(p -> p.fresh > 0);
     }
 
-    private double linesOut(Proxy p) {
-        return p.unanswered.stream().mapToDouble(Message::lines).sum();
+    private boolean mayTrouble() {
+        return gapOver() && mayWrite(joined, 1, URGENT);
     }
 
-    private double waiting() {
-        return (now < lostUntil ? lostLines : 0) + joined().mapToDouble(p -> p.fresh + linesOut(p)).sum();
+    /** Guards against a full queue and too many messages: each kind of order may use a part of both. */
+    private boolean mayWrite(List<Proxy> to, double lines, double part) {
+        return waiting + to.stream().mapToDouble(p -> cost(p, lines)).sum() <= part * mostWaiting
+                && to.stream().allMatch(p -> messagesMost == 0 || p.fresh > 0
+                || capUsed(p) + 1 <= part * messagesMost);
     }
 
-    /**
-     * Guards against a full queue and too many messages to one proxy. Each kind of order may use a part of
-     * both limits: lines two thirds, so that joins and health have room; those leave some for drains.
-     */
-    private boolean mayWrite(Proxy p, double lines, double part) {
+    private int capUsed(Proxy p) {
         while (!p.written.isEmpty() && p.written.peek() <= now - messagesOver - 1) {
             p.written.poll();
         }
-        return waiting() + lines + perMessage <= part * mostWaiting && (messagesMost == 0 || p.fresh > 0
-                || p.written.size() < Math.floor(part * messagesMost)); // what is begun takes no further one
-    }
-
-    private boolean mayWriteAll(double part) {
-        return joined().allMatch(p -> mayWrite(p, joined().count(), part));
+        return p.written.size();
     }
 
     /** Guards against a batch held for all by one proxy that is slow, frozen or cut off: it is left out. */
@@ -700,22 +724,24 @@
     /** The window: one round trip's worth of lines, and at least 5 messages. */
     private boolean hasRoom(Proxy p, Table t, double lines) {
         return lags(p) || p.unanswered.size() < 5
-                || linesOut(p) + lines <= roundTrip * pace / Math.max(1, users(t).size());
+                || p.out + lines <= roundTrip * pace / Math.max(1, users(t).size());
     }
 
     private boolean allHaveRoom(Table t, double lines) {
         List<Proxy> users = users(t);
-        return users.stream().allMatch(p -> mayWrite(p, lines * users.size(), LINES) && hasRoom(p, t, lines));
+        return mayWrite(users, lines, LINES) && users.stream().allMatch(p -> hasRoom(p, t, lines));
     }
 
     /** One barrier request for all messages of this reply; each proxy concerned answers it. */
     private boolean requestBarrier() {
-        List<Proxy> concerned = joined().filter(p -> p.fresh > 0).toList();
+        List<Proxy> concerned = joined.stream().filter(p -> p.fresh > 0).toList();
         if (!concerned.isEmpty()) {
             mark = (mark + 1) % 65536;
             orders.barrier(mark, false);
+            sentAt = concerned.size() == joined.size() ? now : sentAt;
         }
         for (Proxy p : concerned) {
+            p.out += p.fresh + perMessage;
             p.unanswered.add(new Message(mark, now, p.fresh + perMessage));
             p.written.add(now);
             p.fresh = 0;
@@ -724,7 +750,7 @@
     }
 
     private boolean setAlarm() {
-        if (alarmAt > now) {
+        if (alarmAt > now + 1) { // due, but for what rounding took
             return false;
         }
         alarmAt = now + 100; // a tenth of a second: shorter than any report or way here
@@ -734,10 +760,7 @@
 
     // ---- 4 levels and further tries
 
-    /**
-     * Proxies try again on proof alone: a try after any failure comes too late and feeds storms. In a storm
-     * under lowered levels they do not: each host that is full would send them on to the next full one.
-     */
+    /** On proof alone (others come late and feed storms); none where each full host sends on to the next. */
     private FurtherTries tries() {
         return now < stormUntil && letIn < 0.9 ? FurtherTries.NONE : FurtherTries.ONE_ON_PROOF;
     }
@@ -748,26 +771,26 @@
         double figure = measure != Measure.PER_SECOND ? opLevel[k] : opLevel[k] < 1 ? opLevel[k] * each
                 : 1e6; // more than any proxy is asked
         orders.level(t.number, 1 << k, figure, tries());
-        users(t).forEach(p -> p.fresh += 1);
+        users(t).forEach(p -> order(p, 1));
     }
 
     private double asked(int k) {
-        return joined().mapToDouble(p -> p.asked[k]).sum();
+        return joined.stream().mapToDouble(p -> p.asked[k]).sum();
     }
 
     /**
-     * Guards against a fleet that answers late or not at all, whatever made it too small. The share let in
-     * goes down towards what still ends well, but not when fewer tries end than once ended well: then the
-     * sums only lag. It goes up quickly to near that, then slowly.
+     * Guards against a fleet that answers late or not at all, whatever made it too small: the share let in
+     * goes down towards what still ends well, and up the faster the quicker answers are.
      */
     private boolean setLevels() {
-        double ended = sumAll(ENDED);
-        double good = ended - sumAll(BAD);
         double rate = IntStream.range(0, operations.length).mapToDouble(this::asked).sum();
         double work = IntStream.range(0, operations.length).mapToDouble(this::work).sum();
+        stale |= rate > 0 && objective != work / rate;
         objective = rate > 0 ? work / rate : objective;
-        double late = best(0.62, this::lateness); // a third of them broken or cut off does not move it
-        quickest = ended < 20 ? quickest : Math.min(quickest, best(0.33, this::lateness)); // unhurried
+        reckon();
+        double good = ended - bad;
+        double late = mostLate;
+        quickest = ended < 20 ? quickest : Math.min(quickest, usualLate); // unhurried
         boolean storm = good < ended - 0.3 * Math.max(20, ended) || late > Math.max(0.45, 4 * quickest);
         stormUntil = storm ? now + 3000 : stormUntil; // a fifth of the hosts dead makes less of one
         lateUntil = late > Math.max(0.3, 2.5 * quickest) ? now + 3000 : lateUntil;
@@ -798,9 +821,8 @@
 
     /** What must be turned away is taken where a unit of work (by its objective) earns least. */
     private void spreadLevels(double cut) {
-        int[] cheapest = IntStream.range(0, operations.length).boxed()
-                .sorted(Comparator.comparingDouble(k -> operations[k].value() / operations[k].objective()))
-                .mapToInt(k -> k).toArray();
+        List<Integer> cheapest = IntStream.range(0, operations.length).boxed().sorted(
+                Comparator.comparingDouble(k -> operations[k].value() / operations[k].objective())).toList();
         Arrays.fill(opLevel, 1);
         for (double floor : new double[] {0.4, 0.05}) { // first each to 0.4, so that none is given up early
             for (int k : cheapest) {
@@ -813,40 +835,27 @@
 
     // ---- 6 start-over: lists that must be asked for; slices and their owners
 
-    private boolean askForList() {
-        if (now - askedAt < askEvery) {
+    private boolean followList() {
+        if (now < askAt) {
             return false;
         }
-        askedAt = now;
-        if (following) {
-            orders.askList();
-        } else {
-            orders.followList();
-        }
-        following = true;
+        askAt = now + askEvery;
+        orders.followList();
         return true;
     }
 
     /** A slice has one line; a lost owner goes, and the next comes once no write can be in its hands. */
     private boolean placeSlices() {
-        boolean fired = false;
         for (Table t : sliced ? tables : List.<Table>of()) {
-            if (t.mine && t.owner != null && !t.owner.running) {
+            if (t.owner != null && !t.owner.running) {
                 t.owner = null;
                 t.ownerless = now;
-                fired = true;
-            } else if (t.mine && t.owner == null && now - t.ownerless > ownerAfter) {
+            } else if (t.owner == null && now - t.ownerless > ownerAfter) {
                 t.owner = hosts.stream().filter(h -> h.running && !h.out)
-                        .max(Comparator.comparingLong(h -> rank(h, t))).orElse(null);
-                fired |= t.owner != null;
+                        .min(Comparator.comparingDouble(h -> tables.stream().filter(o -> o.owner == h).count()
+                                / h.weight)).orElse(null);
             }
         }
-        return fired;
-    }
-
-    private static long rank(Host h, Table t) {
-        CRC32 crc = new CRC32();
-        crc.update(new byte[] {(byte) h.id, (byte) (h.id >> 8), (byte) t.number, (byte) (t.number >> 8)});
-        return crc.getValue();
+        return false; // gone through before the lines are laid, it finds nothing new
     }
 }
--- a/src/main/java/linenring/wirehost/WireHost.java
+++ b/src/main/java/linenring/wirehost/WireHost.java
@@ -150,7 +150,8 @@
         switch (line.name) {
             case "provision" -> { }
             case "registry" -> registry(steward, balance);
-            case "joined" -> balance.joined(line.index("Sidecar"), line.index("Dc", 0));
+            case "joined" -> balance.joined(line.index("Sidecar"), line.index("Dc", 0),
+                    line.number("Heft", 1));
             case "lost_stream" -> balance.lost(line.index("Sidecar"));
             case "in_force" ->
                 balance.inForce(line.index("Sidecar"), line.index("Rev"), line.millis("Rtt", 0));
@@ -161,7 +162,7 @@
             case "mandate" -> balance.charge(line.index("Sheet"), line.flag("Flag"));
             case "held" -> balance.held(line.index("Sheet"), steward.host(line.text("Host")),
                     line.number("Heft", 1));
-            case "elapsed" -> balance.alarm();
+            case "elapsed" -> { } // settling is all it asks for
             case "key_load", "check_result", "heard" -> { } // no decision asks for these yet
             default -> throw line.bad("unknown message");
         }
@@ -170,8 +171,7 @@
     private void registry(Steward steward, Balance balance) {
         String scope = line.text("Scope");
         if (scope.equals("broken")) {
-            balance.listFailed();
-            return;
+            return; // it is asked for again in time
         }
         if (!scope.equals("patch") && !scope.equals("whole") && !scope.equals("stale_copy")) {
             throw line.bad("field Scope: '" + scope + "' is not known");
--- a/src/test/java/linenring/plan/BalanceTest.java
+++ b/src/test/java/linenring/plan/BalanceTest.java
@@ -285,4 +285,39 @@
         f.pass(6000);
         assertEquals(1, f.tables.get(2).size());
     }
+
+    @Test
+    void whatIsDueRidesAlongWithADrain() {
+        FakeHost f = new FakeHost(figures(0)).fleet(6, 2);
+        f.starts(6);
+        f.settle();
+        f.starts(7); // the last message to all went a moment ago: alone it would wait
+        f.drains(0);
+        int before = f.barriers;
+        f.settle();
+        assertTrue(f.out.contains(0) && f.weight(0, 7) > 0);
+        assertEquals(before + 1, f.barriers);
+    }
+
+    @Test
+    void theQueueCountsTheHeadOfEachMessage() {
+        FakeHost f = new FakeHost(figures(0)).fleet(6, 160); // a message to all takes 160 x (1 + 5) lines
+        f.drains(0);
+        f.settle();
+        f.drains(1);
+        f.settle(); // 960 of 1500 lines wait: a second one has no room before answers come
+        assertEquals(Set.of(0), f.out);
+        f.pass(200);
+        assertEquals(Set.of(0, 1), f.out);
+    }
+
+    @Test
+    void theProxiesThatAreAskedMostAreBoundFirst() {
+        FakeHost f = new FakeHost(figures(0)).fleet(6, 0);
+        for (int p = 0; p < 200; p++) {
+            f.balance.joined(p, 0, p);
+        }
+        f.settle();
+        assertTrue(f.bound.containsKey(199) && !f.bound.containsKey(0));
+    }
 }
--- a/src/test/java/linenring/plan/FakeHost.java
+++ b/src/test/java/linenring/plan/FakeHost.java
@@ -58,7 +58,7 @@
     }
 
     void join(int proxy) {
-        balance.joined(proxy, proxy % 2);
+        balance.joined(proxy, proxy % 2, 1);
         joined.add(proxy);
     }
 
@@ -89,7 +89,6 @@
                 joined.stream().filter(p -> !silent.contains(p))
                         .forEach(p -> balance.inForce(p, pending, 200));
             }
-            balance.alarm();
             balance.settle();
         }
         return this;
