Levels: a zone that is unhurried in itself tells that links are the trouble and not load

Now each host is judged from where it is least late, and a zone whose hosts at 62 in 100 are unhurried tells the levels.

--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -412,18 +412,20 @@
         }
         warmth = listed > 0 ? warmth / listed : 1;
         if (stale) {
-            usualLate = best(0.33, this::lateness);
-            usualBad = best(0.33, o -> sum(o, BAD) / sum(o, ENDED));
-            mostLate = best(0.62, this::lateness); // a third of them broken or cut off does not move it
+            usualLate = best(0.33, -1, this::lateness);
+            usualBad = best(0.33, -1, h -> sum(h, BAD) / sum(h, ENDED));
+            double near = hosts.stream().mapToInt(h -> h.zone).distinct()
+                    .mapToDouble(z -> best(0.62, z, this::nearLateness)).filter(late -> late > 0).min().orElse(0);
+            mostLate = near < 0.35 ? near : best(0.62, -1, this::lateness); // a third broken does not move it
         }
         stale = false;
         reckonedAt = now;
     }
 
     /** Where the best part of the hosts ends. In a jam all are bad; beside broken hosts the best are not. */
-    private double best(double part, ToDoubleFunction<Host> figure) {
+    private double best(double part, int zone, ToDoubleFunction<Host> figure) {
         double[] all = hosts.stream().filter(h -> h.running && !h.out && sum(h, ENDED) >= 3)
-                .mapToDouble(figure).sorted().toArray();
+                .filter(h -> zone < 0 || zone == h.zone).mapToDouble(figure).sorted().toArray();
         return all.length > 0 ? all[(int) (all.length * part)] : 0;
     }
 
@@ -443,6 +445,13 @@
         return (sum(h, SPENT) / objective + 1.5 * sum(h, BAD)) / Math.max(1, sum(h, ENDED));
     }
 
+    /** The same from where it is least: a host with too much to do is late from everywhere. */
+    private double nearLateness(Host h) {
+        return IntStream.range(0, h.met[ENDED].length).filter(z -> h.met[ENDED][z] >= 2)
+                .mapToDouble(z -> (h.met[SPENT][z] / objective + 1.5 * h.met[BAD][z]) / h.met[ENDED][z])
+                .min().orElse(lateness(h));
+    }
+
     /**
      * Guards against hosts that fail or swallow invocations, whatever shows as bad tries there and not at the
      * best third. It could harm a slow host still needed: that goes only when all but all fail.
