Cuts of the levels go at once; sums kept by zone; no table laid anew in place

A cut now goes at once, health waits for heads alone; links tell the levels only where a zone is far less late than the whole fleet.

--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -41,7 +41,8 @@
         int strikes;                    // failed trials in a row
         double share = 1, bears = 1;    // part of its weight that health allows, and its end after a trial
         double restUntil;               // no judging of its lateness before that
-        double[][] met = {{}, {}, {}};  // late sums (ENDED, BAD, SPENT) by zone of the proxies
+        double[] met = new double[3];   // late sums: ENDED, BAD, SPENT
+        double[][] metFrom = {};        // the same by zone of the proxies
         double[] laid = {};             // weight in each shared table, as last sent
 
         Host(int id) {
@@ -72,7 +73,7 @@
     /** A shared table, for the operations open to the same hosts; its number changes when laid anew. */
     private static final class Table {
         final int index, operations, homeZone; // homeZone: that of the proxies and hosts it is for, or -1
-        int number, length, old = -1;
+        int number, length;
         Host owner;                     // slices: the host of its one line
         double weightListed, weightIn, warmIn; // of its open hosts: all that run; not shut out; and warm
         double ownerless;
@@ -151,11 +152,9 @@
                 this::bindProxies,
                 this::sendSubUpdate,
                 each(h -> backIn(h) && mayTrouble(), h -> withdraw(h, false)),
-                this::clearOld,
                 this::setLevels,
                 this::followList,
-                this::requestBarrier,
-                this::setAlarm);
+                this::requestBarrier);
     }
 
     private BooleanSupplier each(Predicate<Host> when, Consumer<Host> then) {
@@ -189,6 +188,10 @@
                 fired |= rule.getAsBoolean();
             }
         }
+        if (alarmAt <= now + 1) { // due, but for what rounding took
+            alarmAt = now + 100; // a tenth of a second: shorter than any report or way here
+            orders.alarm(alarmAt, 1);
+        }
     }
 
     public void listOpens(boolean whole) {
@@ -267,10 +270,14 @@
 
     public void tally(int id, int zone, int total, int bad, double meanMs) {
         Host h = host(id);
-        double[] met = {total, bad, (total - bad) * meanMs};
-        for (int i = 0; i < met.length; i++) {
-            h.met[i] = h.met[i].length > zone ? h.met[i] : Arrays.copyOf(h.met[i], zone + 1);
-            h.met[i][zone] += met[i];
+        while (h.metFrom.length <= zone) {
+            h.metFrom = Arrays.copyOf(h.metFrom, h.metFrom.length + 1);
+            h.metFrom[h.metFrom.length - 1] = new double[3];
+        }
+        for (double[] met : List.of(h.met, h.metFrom[zone])) {
+            met[ENDED] += total;
+            met[BAD] += bad;
+            met[SPENT] += (total - bad) * meanMs;
         }
         stale = true;
     }
@@ -371,21 +378,10 @@
         return Arrays.stream(h.laid).anyMatch(w -> w > 0);
     }
 
-    private static double sum(Host h, int what) {
-        double sum = 0;
-        for (double part : h.met[what]) {
-            sum += part;
-        }
-        return sum;
-    }
-
     private void fade(Host h, double keep) {
         stale = true;
-        for (double[] sums : h.met) {
-            for (int z = 0; z < sums.length; z++) {
-                sums[z] *= keep;
-            }
-        }
+        Stream.concat(Stream.of(h.met), Arrays.stream(h.metFrom))
+                .forEach(met -> Arrays.setAll(met, i -> met[i] * keep));
     }
 
     /** The fleet's figures, which no rule works out for each host: once for each input that changes them. */
@@ -398,8 +394,8 @@
         tables.forEach(t -> t.weightIn = t.weightListed = t.warmIn = 0);
         for (Host h : hosts) {
             if (h.running) {
-                ended += sum(h, ENDED);
-                bad += sum(h, BAD);
+                ended += h.met[ENDED];
+                bad += h.met[BAD];
                 listed += h.out ? 0 : h.weight;
                 warmth += h.out ? 0 : h.weight * able(h);
                 for (Table t : tables) {
@@ -412,11 +408,12 @@
         }
         warmth = listed > 0 ? warmth / listed : 1;
         if (stale) {
-            usualLate = best(0.33, -1, this::lateness);
-            usualBad = best(0.33, -1, h -> sum(h, BAD) / sum(h, ENDED));
+            usualLate = best(0.33, -1, h -> lateness(h.met));
+            usualBad = best(0.33, -1, h -> h.met[BAD] / h.met[ENDED]);
+            mostLate = best(0.62, -1, h -> lateness(h.met)); // a third of them broken does not move it
             double near = hosts.stream().mapToInt(h -> h.zone).distinct()
-                    .mapToDouble(z -> best(0.62, z, this::nearLateness)).filter(late -> late > 0).min().orElse(0);
-            mostLate = near < 0.35 ? near : best(0.62, -1, this::lateness); // a third broken does not move it
+                    .mapToDouble(z -> best(0.62, z, this::nearLateness)).filter(l -> l > 0).min().orElse(1);
+            mostLate = near < Math.min(0.4, 0.4 * mostLate) ? near : mostLate; // nor links that are
         }
         stale = false;
         reckonedAt = now;
@@ -424,7 +421,7 @@
 
     /** Where the best part of the hosts ends. In a jam all are bad; beside broken hosts the best are not. */
     private double best(double part, int zone, ToDoubleFunction<Host> figure) {
-        double[] all = hosts.stream().filter(h -> h.running && !h.out && sum(h, ENDED) >= 3)
+        double[] all = hosts.stream().filter(h -> h.running && !h.out && h.met[ENDED] >= 3)
                 .filter(h -> zone < 0 || zone == h.zone).mapToDouble(figure).sorted().toArray();
         return all.length > 0 ? all[(int) (all.length * part)] : 0;
     }
@@ -441,15 +438,14 @@
     // ---- 1 health from late sums and trial return
 
     /** What a try took on average, as a share of the objective; one that failed counts as late by half. */
-    private double lateness(Host h) {
-        return (sum(h, SPENT) / objective + 1.5 * sum(h, BAD)) / Math.max(1, sum(h, ENDED));
+    private double lateness(double[] met) {
+        return (met[SPENT] / objective + 1.5 * met[BAD]) / Math.max(1, met[ENDED]);
     }
 
-    /** The same from where it is least: a host with too much to do is late from everywhere. */
+    /** From where it is least: a host with too much to do is late from everywhere. */
     private double nearLateness(Host h) {
-        return IntStream.range(0, h.met[ENDED].length).filter(z -> h.met[ENDED][z] >= 2)
-                .mapToDouble(z -> (h.met[SPENT][z] / objective + 1.5 * h.met[BAD][z]) / h.met[ENDED][z])
-                .min().orElse(lateness(h));
+        return Arrays.stream(h.metFrom).filter(met -> met[ENDED] >= 2).mapToDouble(this::lateness).min()
+                .orElse(lateness(h.met));
     }
 
     /**
@@ -457,20 +453,19 @@
      * best third. It could harm a slow host still needed: that goes only when all but all fail.
      */
     private boolean fails(Host h) {
-        double failed = sum(h, BAD);
-        double good = sum(h, ENDED) - failed;
+        double failed = h.met[BAD];
+        double good = h.met[ENDED] - failed;
         if (!h.running || h.sick || failed < (h.trialSince >= 0 ? 2 : 4) || onlyFromSomeZones(h)) {
             return false; // 4 bad tries, or 2 on trial, prove enough
         }
         reckon();
-        boolean quick = sum(h, SPENT) < 1.3 * good * objective * usualLate;
+        boolean quick = h.met[SPENT] < 1.3 * good * objective * usualLate;
         return failed >= (good + failed) * Math.max(quick ? 0.3 : 0.97, 0.15 + 2.2 * usualBad);
     }
 
     /** Bad from one zone and good from another: the way there is cut, the host is not broken. */
     private boolean onlyFromSomeZones(Host h) {
-        return IntStream.range(0, h.met[ENDED].length).anyMatch(z -> h.met[ENDED][z] >= 3
-                && h.met[SPENT][z] / objective + 1.5 * h.met[BAD][z] < 0.35 * h.met[ENDED][z]);
+        return Arrays.stream(h.metFrom).anyMatch(met -> met[ENDED] >= 3 && lateness(met) < 0.35);
     }
 
     private void markSick(Host h) {
@@ -489,7 +484,7 @@
 
     private boolean passesTrial(Host h) {
         double since = now - h.trialSince; // reports are up to 1.6 s late; after 6 s silence must do
-        return h.trialSince >= 0 && since > 1500 && (sum(h, ENDED) >= 2 || since > 6000);
+        return h.trialSince >= 0 && since > 1500 && (h.met[ENDED] >= 2 || since > 6000);
     }
 
     private void growShare(Host h) {
@@ -504,16 +499,16 @@
      */
     private boolean isSlow(Host h) {
         return steady(h, 8) && now > h.restUntil && h.share > 0.6 && usualLate < 0.5
-                && lateness(h) > Math.max(0.55, 1.6 * usualLate) && !onlyFromSomeZones(h);
+                && lateness(h.met) > Math.max(0.55, 1.6 * usualLate) && !onlyFromSomeZones(h);
     }
 
     private boolean wasSlow(Host h) {
-        return steady(h, 4) && h.share < 1 && now > h.restUntil + 40_000 && lateness(h) < usualLate;
+        return steady(h, 4) && h.share < 1 && now > h.restUntil + 40_000 && lateness(h.met) < usualLate;
     }
 
     private boolean steady(Host h, double tries) {
         reckon();
-        return h.running && !h.sick && h.trialSince < 0 && isWarm(h) && sum(h, ENDED) >= tries;
+        return h.running && !h.sick && h.trialSince < 0 && isWarm(h) && h.met[ENDED] >= tries;
     }
 
     private void setShare(Host h, double share) {
@@ -605,6 +600,11 @@
                 && (t.tries != tries() || Math.abs(t.letIn[k] - opLevel[k]) > 0.02); // finer: not worth it
     }
 
+    /** A cut of the levels is as urgent as a withdrawal: each moment of a jam lengthens it. */
+    private boolean cutDue(Table t) {
+        return IntStream.range(0, operations.length).anyMatch(k -> levelDue(t, k) && opLevel[k] < t.letIn[k]);
+    }
+
     private int pending(Table t) {
         int count = (int) IntStream.range(0, operations.length).filter(k -> levelDue(t, k)).count();
         for (Host h : hosts) {
@@ -646,32 +646,24 @@
     /** The smallest pending sub-update goes first; each is sent whole, once all its proxies have room. */
     private boolean sendSubUpdate() {
         Table next = tables.stream()
-                .filter(t -> gapOver() && pending(t) > 0 && !onlyBinds(t))
+                .filter(t -> (gapOver(gap()) || cutDue(t)) && pending(t) > 0 && !onlyBinds(t))
                 .filter(t -> allHaveRoom(t, pending(t)))
                 .min(Comparator.comparingDouble(t -> unsent(t, 1))).orElse(null);
         if (next == null) {
             return false;
         }
-        if (pending(next) > next.length && next.length > 0 && next.old == -1 && !sliced) {
-            next.old = next.number; // laid anew: its proxies are bound to it, and the old one is cleared
-            next.number = ++lastNumber % 65535;
-            hosts.forEach(h -> setLaid(h, next, 0));
-            Arrays.fill(next.letIn, 0);
-        }
         layDue(next);
         return true;
     }
 
-    /** A joining proxy is bound at once, as it may hold hosts that drain; others move as a batch. */
+    /** A joining proxy is bound at once, as it may hold hosts that drain. */
     private boolean bindProxies() {
         boolean fired = false;
         for (Table t : tables) {
             double lines = 1 + t.length + operations.length // and the withdrawn hosts come along
                     + hosts.stream().filter(h -> h.out && laid(h, t) > 0).count();
-            boolean room = unbound(t).allMatch(p -> p.bound[t.index] == -1 || hasRoom(p, t, t.length));
             for (Proxy p : unbound(t).toList()) {
-                boolean joins = p.bound[t.index] == -1;
-                if ((joins || room && !lags(p)) && mayWrite(List.of(p), lines, joins ? URGENT : LINES)) {
+                if (mayWrite(List.of(p), lines, URGENT)) {
                     orders.bind(t.number, t.operations, p.id);
                     p.bound[t.index] = t.number;
                     order(p, lines);
@@ -682,32 +674,23 @@
         return fired;
     }
 
-    private boolean clearOld() {
-        for (Table t : tables) {
-            if (t.old != -1 && unbound(t).findAny().isEmpty()
-                    && users(t).stream().allMatch(p -> p.unanswered.isEmpty() || lags(p))) {
-                orders.wipe(t.old);
-                t.old = -1;
-                return true;
-            }
-        }
-        return false;
-    }
-
     // ---- 5 channel ledger
 
     /**
      * Later changes merge meanwhile: a round trip, or what spends 60% of the cap on messages, or a quarter of
      * the channel on their heads. What goes to all for another reason takes along what is due.
      */
-    private boolean gapOver() {
-        double gap = Math.max(roundTrip, messagesMost > 0 ? messagesOver / (0.6 * messagesMost) : 0);
-        return now - sentAt >= Math.max(gap, 4 * joined.size() * perMessage / pace)
+    private double gap() {
+        return Math.max(roundTrip, messagesMost > 0 ? messagesOver / (0.6 * messagesMost) : 0);
+    }
+
+    private boolean gapOver(double least) {
+        return now - sentAt >= Math.max(least, 4 * joined.size() * perMessage / pace)
                 || joined.stream().allMatch(p -> p.fresh > 0);
     }
 
     private boolean mayTrouble() {
-        return gapOver() && mayWrite(joined, 1, URGENT);
+        return gapOver(0) && mayWrite(joined, 1, URGENT);
     }
 
     /** Guards against a full queue and too many messages: each kind of order may use a part of both. */
@@ -758,15 +741,6 @@
         return !concerned.isEmpty();
     }
 
-    private boolean setAlarm() {
-        if (alarmAt > now + 1) { // due, but for what rounding took
-            return false;
-        }
-        alarmAt = now + 100; // a tenth of a second: shorter than any report or way here
-        orders.alarm(alarmAt, 1);
-        return true;
-    }
-
     // ---- 4 levels and further tries
 
     /** On proof alone (others come late and feed storms); none where each full host sends on to the next. */
