--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -638,7 +638,7 @@
     }
 
     private void layDue(Table t) {
-        hosts.stream().filter(h -> due(h, t)).forEach(h -> lay(h, t, wanted(h, t)));
+        hosts.stream().filter(h -> due(h, t)).limit(piece(t)).forEach(h -> lay(h, t, wanted(h, t)));
         IntStream.range(0, operations.length).filter(k -> levelDue(t, k)).forEach(k -> layLevel(t, k));
         t.tries = tries();
     }
@@ -647,7 +647,7 @@
     private boolean sendSubUpdate() {
         Table next = tables.stream()
                 .filter(t -> (gapOver(gap()) || cutDue(t)) && pending(t) > 0 && !onlyBinds(t))
-                .filter(t -> allHaveRoom(t, pending(t)))
+                .filter(t -> allHaveRoom(t, Math.min(pending(t), piece(t))))
                 .min(Comparator.comparingDouble(t -> unsent(t, 1))).orElse(null);
         if (next == null) {
             return false;
@@ -719,6 +719,11 @@
                 || p.out + lines <= roundTrip * pace / Math.max(1, users(t).size());
     }
 
+    /** Guards against a sub-update that no queue holds: then it goes in pieces of half of what one may. */
+    private long piece(Table t) {
+        return (long) Math.max(1, 0.5 * LINES * mostWaiting / Math.max(1, users(t).size()) - perMessage);
+    }
+
     private boolean allHaveRoom(Table t, double lines) {
         List<Proxy> users = users(t);
         return mayWrite(users, lines, LINES) && users.stream().allMatch(p -> hasRoom(p, t, lines));
