Drains go together and first; newcomers are told of them once more; weak kinds get half as a whole

Cause of broken drains at full size: proxies that had lost their stewards waited 4 s for tables with hosts withdrawn (for health) before they joined, or told of while their streams were down; and drains went one by one through a queue that lines and health kept full, a head for each. Now drains wait together for room and hold all else meanwhile; hosts told of in the last 30 s are withdrawn once more for newcomers half a second after they joined; binds and lines keep to half of the queue, health to two thirds. Also guards: any fleet of newcomers on a slow channel. Could harm: some lines sent twice. Levels are not cut while the best third is unhurried (replaces the word of near zones).

--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -28,38 +28,31 @@
  */
 public final class Balance {
     private static final int ENDED = 0, BAD = 1, SPENT = 2;
-    private static final double LINES = 0.67, URGENT = 0.85; // of the limits: joins, then drains have room
+    private static final double LINES = 0.5, URGENT = 0.65, DRAINS = 1; // of the queue; it holds drains twice
 
-    /** All that is known of a host. */
     private static final class Host {
-        final int id;
-        int zone, kind;
+        int id, zone, kind;
         double weight = 1, started = Double.NEGATIVE_INFINITY;
         boolean running, told, inList;  // listed ready; told it drains or is gone; in the list being read
         boolean out, sick;              // shut out at the proxies; to be shut out for its health
+        double toldAt;                  // when it was told of
         double backAt, trialSince = -1; // when a sick one is tried again; start of its trial step
         int strikes;                    // failed trials in a row
         double share = 1, bears = 1;    // part of its weight that health allows, and its end after a trial
         double restUntil;               // no judging of its lateness before that
         double[] met = new double[3];   // late sums: ENDED, BAD, SPENT
-        double[][] metFrom = {};        // the same by zone of the proxies
+        final List<double[]> metFrom = new ArrayList<>(); // the same by zone of the proxies
         double[] laid = {};             // weight in each shared table, as last sent
-
-        Host(int id) {
-            this.id = id;
-        }
     }
 
-    /** A message to a proxy that it has not answered yet. */
-    private record Message(int mark, double at, double lines) {
-    }
+    private record Message(int mark, double at, double lines) { }
 
     private static final class Proxy {
         final int id;
         int zone;
         int[] bound = {};               // number it is bound to, by shared table; -1 for none
         final double[] asked;           // invocations a second, by operation
-        double usual;                   // invocations a second, about, as told when it joined
+        double usual, warnAt;           // invocations a second, about; when it is warned if not bound by then
         double fresh, out;              // lines ordered for it in this reply; lines not answered yet
         final Deque<Message> unanswered = new ArrayDeque<>();
         final Deque<Double> written = new ArrayDeque<>(); // times of the messages that the cap counts
@@ -70,23 +63,16 @@
         }
     }
 
-    /** A shared table, for the operations open to the same hosts; its number changes when laid anew. */
+    /** A shared table, for the operations open to the same hosts. */
     private static final class Table {
-        final int index, operations, homeZone; // homeZone: that of the proxies and hosts it is for, or -1
+        int index, operations, homeZone; // homeZone: that of the proxies and hosts it is for, or -1
         int number, length;
         Host owner;                     // slices: the host of its one line
         double weightListed, weightIn, warmIn; // of its open hosts: all that run; not shut out; and warm
         double ownerless;
-        final double[] letIn;
+        double[] letIn;
         FurtherTries tries;
 
-        Table(int index, int operations, int homeZone, int number, int count) {
-            this.index = index;
-            this.operations = operations;
-            this.homeZone = homeZone;
-            this.number = number;
-            letIn = new double[count];
-        }
     }
 
     private final Orders orders;
@@ -100,12 +86,11 @@
     private final List<Proxy> proxies = new ArrayList<>();
     private List<Proxy> joined = List.of();
     private final List<Table> tables = new ArrayList<>();
+    private final List<double[]> metBy = new ArrayList<>(); // sums of the warm hosts that are in, by kind
     private final List<BooleanSupplier> rules;
-    private double now, sentAt = Double.NEGATIVE_INFINITY, fadedAt, roundTrip, alarmAt = -1, askAt;
-    private double stormUntil = -1, lateUntil;
-    private boolean wholeList, stale = true; // stale: sums or hosts have changed, reckon anew
-    private double waiting;                             // lines that may still wait in the channel
-    private double reckonedAt, usualLate, mostLate, usualBad, ended, bad, warmth;
+    private double now, sentAt = -1e9, fadedAt, roundTrip, alarmAt = -1, askAt, stormUntil = -1, lateUntil;
+    private boolean wholeList, drainsWait, stale = true; // stale: sums or hosts have changed, reckon anew
+    private double waiting, reckonedAt, usualLate, mostLate, usualBad, ended, bad, warmth; // waiting: lines
     private int mark, lastNumber;
     private double letIn = 1, levelAt, forgetAt = Double.POSITIVE_INFINITY;
     private double endedWell, objective = 1000, quickest = 0.2; // until the first sums
@@ -136,11 +121,12 @@
             addTablesFor(k);
         }
         rules = List.of(
-                each(h -> h.told && !h.out && mayWrite(joined, 1, 1), h -> withdraw(h, true)),
+                this::withdrawTold,
                 each(this::fails, this::markSick),
                 each(this::isSlow, h -> setShare(h, 0.5 * h.share)),
+                each(this::isOfSlowKind, h -> h.share = h.bears = 0.5),
                 each(this::wasSlow, h -> setShare(h, Math.min(1, 2 * h.share))),
-                each(h -> h.sick && !h.out && mayTrouble() && spared(h), h -> withdraw(h, true)),
+                each(h -> h.running && h.sick && !h.out && mayTrouble() && spared(h), h -> withdraw(h, true)),
                 each(h -> h.sick && h.running && now >= h.backAt,
                         h -> startTrial(h, h.bears < 1 ? h.bears : 0.15)),
                 each(this::passesTrial, this::growShare),
@@ -150,6 +136,7 @@
                 this::cutRestarted,
                 this::placeSlices,
                 this::bindProxies,
+                this::warnNewcomers,
                 this::sendSubUpdate,
                 each(h -> backIn(h) && mayTrouble(), h -> withdraw(h, false)),
                 this::setLevels,
@@ -181,12 +168,8 @@
     }
 
     public void settle() {
-        boolean fired = true;
-        for (int pass = 0; fired && pass < 1000; pass++) { // each rule ends its own condition far sooner
-            fired = false;
-            for (BooleanSupplier rule : rules) {
-                fired |= rule.getAsBoolean();
-            }
+        for (long passes = 0, fired = 1; fired > 0 && passes < 1000; passes++) { // none fires for long
+            fired = rules.stream().filter(BooleanSupplier::getAsBoolean).count();
         }
         if (alarmAt <= now + 1) { // due, but for what rounding took
             alarmAt = now + 100; // a tenth of a second: shorter than any report or way here
@@ -226,6 +209,8 @@
 
     private void drop(Host h) {
         h.running = false;
+        h.toldAt = h.told ? h.toldAt : now;
+        h.out &= newcomers().isEmpty(); // these were not there when it was shut out for its health
         h.told = stale = true;
     }
 
@@ -239,6 +224,7 @@
         Proxy p = proxy(id);
         p.zone = zone;
         p.usual = usual;
+        p.warnAt = now + 500;           // those that lost one steward have joined by then
         p.bound = new int[tables.size()];
         Arrays.fill(p.bound, -1);
         joined = Stream.concat(joined.stream(), Stream.of(p))
@@ -270,11 +256,10 @@
 
     public void tally(int id, int zone, int total, int bad, double meanMs) {
         Host h = host(id);
-        while (h.metFrom.length <= zone) {
-            h.metFrom = Arrays.copyOf(h.metFrom, h.metFrom.length + 1);
-            h.metFrom[h.metFrom.length - 1] = new double[3];
+        while (h.metFrom.size() <= zone) {
+            h.metFrom.add(new double[3]);
         }
-        for (double[] met : List.of(h.met, h.metFrom[zone])) {
+        for (double[] met : List.of(h.met, h.metFrom.get(zone))) {
             met[ENDED] += total;
             met[BAD] += bad;
             met[SPENT] += (total - bad) * meanMs;
@@ -303,7 +288,8 @@
 
     private Host host(int id) {
         while (hosts.size() <= id) {
-            hosts.add(new Host(hosts.size()));
+            hosts.add(new Host());
+            hosts.get(hosts.size() - 1).id = hosts.size() - 1;
         }
         return hosts.get(id);
     }
@@ -315,6 +301,9 @@
         h.zone = zone;
         h.kind = kind;
         h.weight = weight > 0 ? weight : 1;
+        while (metBy.size() <= kind) {
+            metBy.add(new double[3]);
+        }
         return h;
     }
 
@@ -326,8 +315,14 @@
     }
 
     private Table addTable(int mask, int homeZone, int number) {
-        tables.add(new Table(tables.size(), mask, homeZone, number, operations.length));
-        return tables.get(tables.size() - 1);
+        Table t = new Table();
+        t.index = tables.size();
+        t.operations = mask;
+        t.homeZone = homeZone;
+        t.number = number;
+        t.letIn = new double[operations.length];
+        tables.add(t);
+        return t;
     }
 
     /** Operations open to the same hosts share a table; one confined to the proxy's zone has one a zone. */
@@ -380,7 +375,7 @@
 
     private void fade(Host h, double keep) {
         stale = true;
-        Stream.concat(Stream.of(h.met), Arrays.stream(h.metFrom))
+        Stream.concat(Stream.of(h.met), h.metFrom.stream())
                 .forEach(met -> Arrays.setAll(met, i -> met[i] * keep));
     }
 
@@ -391,11 +386,14 @@
         }
         double listed = 0;
         warmth = ended = bad = 0;
+        metBy.forEach(met -> Arrays.fill(met, 0));
         tables.forEach(t -> t.weightIn = t.weightListed = t.warmIn = 0);
         for (Host h : hosts) {
             if (h.running) {
                 ended += h.met[ENDED];
                 bad += h.met[BAD];
+                double part = h.out || !isWarm(h) ? 0 : 1;
+                Arrays.setAll(metBy.get(h.kind), i -> metBy.get(h.kind)[i] + part * h.met[i]);
                 listed += h.out ? 0 : h.weight;
                 warmth += h.out ? 0 : h.weight * able(h);
                 for (Table t : tables) {
@@ -408,31 +406,49 @@
         }
         warmth = listed > 0 ? warmth / listed : 1;
         if (stale) {
-            usualLate = best(0.33, -1, h -> lateness(h.met));
-            usualBad = best(0.33, -1, h -> h.met[BAD] / h.met[ENDED]);
-            mostLate = best(0.62, -1, h -> lateness(h.met)); // a third of them broken does not move it
-            double near = hosts.stream().mapToInt(h -> h.zone).distinct()
-                    .mapToDouble(z -> best(0.62, z, this::nearLateness)).filter(l -> l > 0).min().orElse(1);
-            mostLate = near < Math.min(0.4, 0.4 * mostLate) ? near : mostLate; // nor links that are
+            usualLate = best(0.33, h -> lateness(h.met));
+            usualBad = best(0.33, h -> h.met[BAD] / h.met[ENDED]);
+            mostLate = best(0.62, h -> lateness(h.met)); // a third of them broken or cut off does not move it
         }
         stale = false;
         reckonedAt = now;
     }
 
     /** Where the best part of the hosts ends. In a jam all are bad; beside broken hosts the best are not. */
-    private double best(double part, int zone, ToDoubleFunction<Host> figure) {
+    private double best(double part, ToDoubleFunction<Host> figure) {
         double[] all = hosts.stream().filter(h -> h.running && !h.out && h.met[ENDED] >= 3)
-                .filter(h -> zone < 0 || zone == h.zone).mapToDouble(figure).sorted().toArray();
+                .mapToDouble(figure).sorted().toArray();
         return all.length > 0 ? all[(int) (all.length * part)] : 0;
     }
 
     // ---- drains and withdrawals: past the windows, to all proxies
 
+    /** All at one time, as each message has a head; nothing else is written while they wait for room. */
+    private boolean withdrawTold() {
+        List<Host> told = hosts.stream().filter(h -> h.told && !h.out)
+                .limit((long) Math.max(1, mostWaiting / Math.max(1, joined.size()) - perMessage)).toList();
+        drainsWait = !mayWrite(joined, told.size(), DRAINS);
+        told.stream().filter(h -> !drainsWait).forEach(h -> withdraw(h, true));
+        return !told.isEmpty() && !drainsWait;
+    }
+
     private void withdraw(Host h, boolean out) {
         h.out = out;
         stale = true;
         orders.withdraw(h.id, out);
-        joined.forEach(p -> order(p, 1));
+        (inTables(h) ? joined : newcomers()).forEach(p -> order(p, 1));
+    }
+
+    private List<Proxy> newcomers() {
+        return joined.stream().filter(p -> Arrays.stream(p.bound).anyMatch(b -> b == -1)).toList();
+    }
+
+    /** Guards against newcomers not bound yet with hosts told of while their streams were down (30 s). */
+    private boolean warnNewcomers() {
+        List<Proxy> waits = newcomers();
+        boolean due = waits.stream().anyMatch(p -> now >= p.warnAt);
+        waits.forEach(p -> p.warnAt = due ? Double.POSITIVE_INFINITY : p.warnAt);
+        return due && each(h -> h.told && h.out && now < h.toldAt + 3e4, h -> h.out = false).getAsBoolean();
     }
 
     // ---- 1 health from late sums and trial return
@@ -442,12 +458,6 @@
         return (met[SPENT] / objective + 1.5 * met[BAD]) / Math.max(1, met[ENDED]);
     }
 
-    /** From where it is least: a host with too much to do is late from everywhere. */
-    private double nearLateness(Host h) {
-        return Arrays.stream(h.metFrom).filter(met -> met[ENDED] >= 2).mapToDouble(this::lateness).min()
-                .orElse(lateness(h.met));
-    }
-
     /**
      * Guards against hosts that fail or swallow invocations, whatever shows as bad tries there and not at the
      * best third. It could harm a slow host still needed: that goes only when all but all fail.
@@ -465,7 +475,7 @@
 
     /** Bad from one zone and good from another: the way there is cut, the host is not broken. */
     private boolean onlyFromSomeZones(Host h) {
-        return Arrays.stream(h.metFrom).anyMatch(met -> met[ENDED] >= 3 && lateness(met) < 0.35);
+        return h.metFrom.stream().anyMatch(met -> met[ENDED] >= 3 && lateness(met) < 0.35);
     }
 
     private void markSick(Host h) {
@@ -502,6 +512,13 @@
                 && lateness(h.met) > Math.max(0.55, 1.6 * usualLate) && !onlyFromSomeZones(h);
     }
 
+    /** The same for all hosts of a kind beside an unhurried kind: where sums are thin, they tell together. */
+    private boolean isOfSlowKind(Host h) {
+        double best = metBy.stream().filter(m -> m[ENDED] >= 50).mapToDouble(this::lateness).min().orElse(1);
+        return best < 0.35 && steady(h, 0) && h.share == 1 && now > h.restUntil
+                && metBy.get(h.kind)[ENDED] >= 50 && lateness(metBy.get(h.kind)) > Math.max(0.5, 2 * best);
+    }
+
     private boolean wasSlow(Host h) {
         return steady(h, 4) && h.share < 1 && now > h.restUntil + 40_000 && lateness(h.met) < usualLate;
     }
@@ -551,11 +568,9 @@
      */
     private boolean keptFromStorm(Host h) {
         boolean young = now - h.started < warmAfter / 3; // so cold that a jam's first seconds push it over
-        if (now >= (young ? Math.max(lateUntil, stormUntil) : stormUntil) || isWarm(h)) {
-            return false;
-        }
         reckon();
-        return tables.stream().allMatch(t -> !open(h, t) || t.warmIn > 0);
+        return now < (young ? Math.max(lateUntil, stormUntil) : stormUntil) && !isWarm(h)
+                && tables.stream().allMatch(t -> !open(h, t) || t.warmIn > 0);
     }
 
     /** Guards against a restarted or weak host that keeps its full weight: cut past the windows. */
@@ -570,8 +585,7 @@
     /** A host may go for its health while half of the weight that each table can use stays in. */
     private boolean spared(Host h) {
         reckon();
-        return tables.stream().allMatch(t -> !open(h, t)
-                || t.weightIn - (h.running && !h.out ? h.weight : 0) >= 0.5 * t.weightListed);
+        return tables.stream().allMatch(t -> !open(h, t) || t.weightIn - h.weight >= 0.5 * t.weightListed);
     }
 
     /** Guards against a table left with none but sick hosts: they are let back in. */
@@ -613,7 +627,7 @@
         return count;
     }
 
-    /** Lines not yet sent, by depth: binds have a step after them (2 with their own), the rest none (1). */
+    /** Lines not yet sent, by depth: binds 2, as a step comes after them, the rest 1. */
     private double unsent(Table t, int depth) {
         return depth == 2 ? unbound(t).count() * (1.0 + t.length) : pending(t) * users(t).size();
     }
@@ -663,7 +677,7 @@
             double lines = 1 + t.length + operations.length // and the withdrawn hosts come along
                     + hosts.stream().filter(h -> h.out && laid(h, t) > 0).count();
             for (Proxy p : unbound(t).toList()) {
-                if (mayWrite(List.of(p), lines, URGENT)) {
+                if (mayWrite(List.of(p), lines, LINES)) {
                     orders.bind(t.number, t.operations, p.id);
                     p.bound[t.index] = t.number;
                     order(p, lines);
@@ -695,9 +709,10 @@
 
     /** Guards against a full queue and too many messages: each kind of order may use a part of both. */
     private boolean mayWrite(List<Proxy> to, double lines, double part) {
-        return waiting + to.stream().mapToDouble(p -> cost(p, lines)).sum() <= part * mostWaiting
+        return (part == DRAINS || !drainsWait)
+                && waiting + to.stream().mapToDouble(p -> cost(p, lines)).sum() <= part * mostWaiting
                 && to.stream().allMatch(p -> messagesMost == 0 || p.fresh > 0
-                || capUsed(p) + 1 <= part * messagesMost);
+                || capUsed(p) + 1 <= Math.min(1, part + 0.2) * messagesMost);
     }
 
     private int capUsed(Proxy p) {
@@ -732,18 +747,19 @@
     /** One barrier request for all messages of this reply; each proxy concerned answers it. */
     private boolean requestBarrier() {
         List<Proxy> concerned = joined.stream().filter(p -> p.fresh > 0).toList();
-        if (!concerned.isEmpty()) {
-            mark = (mark + 1) % 65536;
-            orders.barrier(mark, false);
-            sentAt = concerned.size() == joined.size() ? now : sentAt;
+        if (concerned.isEmpty()) {
+            return false;
         }
+        mark = (mark + 1) % 65536;
+        orders.barrier(mark, false);
+        sentAt = concerned.size() == joined.size() ? now : sentAt;
         for (Proxy p : concerned) {
             p.out += p.fresh + perMessage;
             p.unanswered.add(new Message(mark, now, p.fresh + perMessage));
             p.written.add(now);
             p.fresh = 0;
         }
-        return !concerned.isEmpty();
+        return true;
     }
 
     // ---- 4 levels and further tries
@@ -792,7 +808,7 @@
         }
         double before = letIn;
         endedWell = Math.max(endedWell * 0.998, good);
-        if (late > 0.5) {
+        if (late > 0.5 && usualLate > 0.35) {
             letIn = Math.max(0.1, letIn * Math.max(0.4, Math.min(0.55 / late, 0.95 * good / ended)));
         } else if (late < 0.4 && letIn < 1) {
             letIn = Math.min(1, letIn * (1 + (0.45 - late) * (ended < 0.8 * endedWell ? 1 : 0.4)));
--- a/src/test/java/linenring/plan/BalanceTest.java
+++ b/src/test/java/linenring/plan/BalanceTest.java
@@ -320,4 +320,65 @@
         f.settle();
         assertTrue(f.bound.containsKey(199) && !f.bound.containsKey(0));
     }
+
+    @Test
+    void newcomersThatWaitForATableAreToldOnceMoreOfDrains() {
+        FakeHost f = new FakeHost(figures(0)).fleet(40, 2);
+        f.drains(0);
+        f.settle();
+        f.pass(3000);
+        for (int p = 2; p < 80; p++) { // their steward died; it takes seconds to bind them all
+            f.join(p);
+            f.silent.add(p);
+        }
+        f.settle();
+        assertFalse(f.bound.containsKey(79) || f.said.contains("withdraw"));
+        f.pass(600);
+        assertTrue(f.said.contains("withdraw") && !f.bound.containsKey(79));
+    }
+
+    @Test
+    void drainsThatFindNoRoomGoTogetherAndFirst() {
+        FakeHost f = new FakeHost(figures(0)).fleet(12, 120);
+        f.drains(0);
+        f.settle(); // 720 of 1500 lines
+        int before = f.barriers;
+        f.starts(12);
+        for (int h = 1; h < 6; h++) {
+            f.drains(h); // 1200 lines: more than there is room for
+        }
+        f.settle();
+        assertEquals(before, f.barriers);
+        f.pass(100);
+        assertEquals(before + 1, f.barriers);
+        assertEquals(Set.of(0, 1, 2, 3, 4, 5), f.out);
+    }
+
+    @Test
+    void aSubUpdateThatNoQueueHoldsGoesInPieces() {
+        FakeHost f = new FakeHost(figures(0)).fleet(4, 40);
+        for (int h = 4; h < 34; h++) {
+            f.starts(h); // thirty lines to forty proxies: 1400 of 1500
+        }
+        f.settle();
+        f.pass(20_000);
+        assertTrue(java.util.stream.IntStream.range(4, 34).allMatch(h -> f.weight(0, h) > 0));
+    }
+
+    @Test
+    void aKindThatIsLateBesideAnUnhurriedOneGetsHalfThoughEachHostsSumsAreThin() {
+        FakeHost f = new FakeHost(figures(0)).fleet(40, 2);
+        f.balance.listOpens(false);
+        for (int h = 20; h < 40; h++) {
+            f.balance.running(h, h % 2, 1, 1, Double.NEGATIVE_INFINITY);
+        }
+        f.balance.listCloses();
+        f.balance.traffic(0, 0, 1000, 50);
+        for (int h = 0; h < 40; h++) {
+            f.balance.tally(h, 0, 4, 0, h < 20 ? 200 : 900);
+        }
+        f.pass(2000);
+        assertEquals(0.5, f.weight(0, 30));
+        assertEquals(1, f.weight(0, 10));
+    }
 }
