--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -28,7 +28,7 @@
  */
 public final class Balance {
     private static final int ENDED = 0, BAD = 1, SPENT = 2;
-    private static final double LINES = 0.5, URGENT = 0.65, DRAINS = 1; // of the queue; it holds drains twice
+    private static final double LINES = 0.5, URGENT = 0.85, DRAINS = 1; // of the queue; it holds drains twice
 
     private static final class Host {
         int id, zone, kind;
