--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -182,7 +182,12 @@
         hosts.forEach(h -> h.inList = false);
     }
 
+    /**
+     * Guards against listed hosts that do not exist: one that comes up of a sudden and claims to be old is on
+     * trial, and stays out for long if that fails. It could harm by a few seconds of an old host moved here.
+     */
     public void running(int id, int zone, int kind, double weight, double started) {
+        boolean unmet = !wholeList && id >= hosts.size();
         Host h = listed(id, zone, kind, weight);
         if (!h.running || started > h.started) { // a new process: what was seen of the old one tells nothing
             h.sick = false;
@@ -193,6 +198,10 @@
         h.started = started;
         h.running = true;
         h.told = false;
+        if (unmet && isWarm(h)) {
+            startTrial(h, 0.15);
+            h.strikes = 3; // 10 s, then 15 s out
+        }
     }
 
     public void stopping(int id, int zone, int kind, double weight) {
@@ -473,8 +482,7 @@
         return failed >= (good + failed) * Math.max(quick ? 0.3 : 0.97, 0.15 + 2.2 * usualBad);
     }
 
-    /** Bad from one zone and good from another: the way there is cut, the host is not broken. */
-    private boolean onlyFromSomeZones(Host h) {
+    private boolean onlyFromSomeZones(Host h) { // the way there is cut, the host is not broken
         return h.metFrom.stream().anyMatch(met -> met[ENDED] >= 3 && lateness(met) < 0.35);
     }
 
@@ -484,8 +492,7 @@
         h.backAt = now + 3000 * Math.pow(1.5, Math.min(4, h.strikes++)); // 3 s, up to 15 s for what stays bad
     }
 
-    /** A share of 0.15 is a try a second or so: enough to judge by. A weak host is tried at its half. */
-    private void startTrial(Host h, double share) {
+    private void startTrial(Host h, double share) { // 0.15 is a try a second or so: enough to judge by
         h.sick = false;
         h.trialSince = now;
         h.share = share;
@@ -540,8 +547,7 @@
         return now - h.started >= warmAfter;
     }
 
-    /** The surest lower bound of what a host can do now, as a share of what it can do when warm. */
-    private double able(Host h) {
+    private double able(Host h) { // at least, as a share of what it can do when warm
         return isWarm(h) ? 1 : coldShare + (1 - coldShare) * Math.max(0, now - h.started) / warmAfter;
     }
 
@@ -582,8 +588,7 @@
 
     // ---- 3 last-line guard
 
-    /** A host may go for its health while half of the weight that each table can use stays in. */
-    private boolean spared(Host h) {
+    private boolean spared(Host h) { // half of the weight that each table can use stays in
         reckon();
         return tables.stream().allMatch(t -> !open(h, t) || t.weightIn - h.weight >= 0.5 * t.weightListed);
     }
@@ -603,8 +608,7 @@
                 || Math.abs(want - has) > 0.12 * Math.max(want, has) || want == h.weight && has != want);
     }
 
-    /** A host comes back in when every table has its due weight. */
-    private boolean backIn(Host h) {
+    private boolean backIn(Host h) { // when every table has its due weight
         return h.out && h.running && !h.sick && !keptFromStorm(h)
                 && tables.stream().noneMatch(t -> due(h, t));
     }
@@ -614,8 +618,7 @@
                 && (t.tries != tries() || Math.abs(t.letIn[k] - opLevel[k]) > 0.02); // finer: not worth it
     }
 
-    /** A cut of the levels is as urgent as a withdrawal: each moment of a jam lengthens it. */
-    private boolean cutDue(Table t) {
+    private boolean cutDue(Table t) { // as urgent as a withdrawal: each moment of a jam lengthens it
         return IntStream.range(0, operations.length).anyMatch(k -> levelDue(t, k) && opLevel[k] < t.letIn[k]);
     }
 
@@ -627,8 +630,7 @@
         return count;
     }
 
-    /** Lines not yet sent, by depth: binds 2, as a step comes after them, the rest 1. */
-    private double unsent(Table t, int depth) {
+    private double unsent(Table t, int depth) { // binds have depth 2, as a step comes after them
         return depth == 2 ? unbound(t).count() * (1.0 + t.length) : pending(t) * users(t).size();
     }
 
@@ -712,7 +714,7 @@
         return (part == DRAINS || !drainsWait)
                 && waiting + to.stream().mapToDouble(p -> cost(p, lines)).sum() <= part * mostWaiting
                 && to.stream().allMatch(p -> messagesMost == 0 || p.fresh > 0
-                || capUsed(p) + 1 <= Math.min(1, part + 0.2) * messagesMost);
+                || capUsed(p) + 1 <= Math.min(part + 0.2, Math.max(part, URGENT)) * messagesMost);
     }
 
     private int capUsed(Proxy p) {
@@ -744,8 +746,7 @@
         return mayWrite(users, lines, LINES) && users.stream().allMatch(p -> hasRoom(p, t, lines));
     }
 
-    /** One barrier request for all messages of this reply; each proxy concerned answers it. */
-    private boolean requestBarrier() {
+    private boolean requestBarrier() { // one for all messages of this reply; each proxy concerned answers it
         List<Proxy> concerned = joined.stream().filter(p -> p.fresh > 0).toList();
         if (concerned.isEmpty()) {
             return false;
@@ -823,8 +824,7 @@
         return asked(k) * operations[k].objective();
     }
 
-    /** What must be turned away is taken where a unit of work (by its objective) earns least. */
-    private void spreadLevels(double cut) {
+    private void spreadLevels(double cut) { // taken where a unit of work (by its objective) earns least
         List<Integer> cheapest = IntStream.range(0, operations.length).boxed().sorted(
                 Comparator.comparingDouble(k -> operations[k].value() / operations[k].objective())).toList();
         Arrays.fill(opLevel, 1);
