Newcomers that cannot have full tables soon get parts first

Cause: full tables for all newcomers take 12 s of the channel; what a newcomer holds (six hosts of one zone) died meanwhile. Now, where full tables would take over a second, hosts are dealt into parts as large as a standing table, laid as shared tables, newcomers bound to them at once and to the full table as the channel allows, heaviest first; a part that has lost its hosts is left for another; parts are cleared when nobody uses them (new table, binds, clear the old). It also keeps drains for newcomers, so that the second telling of drains is gone.

--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -35,9 +35,8 @@
         double weight = 1, started = Double.NEGATIVE_INFINITY;
         boolean running, told, inList;  // listed ready; told it drains or is gone; in the list being read
         boolean out, sick;              // shut out at the proxies; to be shut out for its health
-        double toldAt;                  // when it was told of
         double backAt, trialSince = -1; // when a sick one is tried again; start of its trial step
-        int strikes;                    // failed trials in a row
+        int strikes, part = -1;         // failed trials in a row; part that it is dealt to, or -1
         double share = 1, bears = 1;    // part of its weight that health allows, and its end after a trial
         double restUntil;               // no judging of its lateness before that
         double[] met = new double[3];   // late sums: ENDED, BAD, SPENT
@@ -48,29 +47,25 @@
     private record Message(int mark, double at, double lines) { }
 
     private static final class Proxy {
-        final int id;
-        int zone;
+        int id, zone;
         int[] bound = {};               // number it is bound to, by shared table; -1 for none
-        final double[] asked;           // invocations a second, by operation
-        double usual, warnAt;           // invocations a second, about; when it is warned if not bound by then
+        final double[] asked = new double[Integer.SIZE]; // invocations a second, by operation
+        double usual;                   // invocations a second, about, as told when it joined
         double fresh, out;              // lines ordered for it in this reply; lines not answered yet
         final Deque<Message> unanswered = new ArrayDeque<>();
         final Deque<Double> written = new ArrayDeque<>(); // times of the messages that the cap counts
 
-        Proxy(int id, int operations) {
-            this.id = id;
-            asked = new double[operations];
-        }
     }
 
     /** A shared table, for the operations open to the same hosts. */
     private static final class Table {
         int index, operations, homeZone; // homeZone: that of the proxies and hosts it is for, or -1
-        int number, length;
+        int number, length, base, part = -1; // a part: of that full table
+        List<Host> members;             // the hosts that may be in it
         Host owner;                     // slices: the host of its one line
         double weightListed, weightIn, warmIn; // of its open hosts: all that run; not shut out; and warm
         double ownerless;
-        double[] letIn;
+        final double[] letIn = new double[Integer.SIZE]; // by operation
         FurtherTries tries;
 
     }
@@ -80,7 +75,7 @@
     private final Measure measure;
     private final double pace, perMessage, mostWaiting, messagesOver, transitMost, coldShare, warmAfter;
     private final double askEvery, ownerAfter; // ownerAfter: no write is in a former owner's hands; or -1
-    private final int messagesMost;
+    private final int messagesMost, standing;
     private final boolean goneNeedNotStop, sliced;
     private final List<Host> hosts = new ArrayList<>();
     private final List<Proxy> proxies = new ArrayList<>();
@@ -91,9 +86,10 @@
     private double now, sentAt = -1e9, fadedAt, roundTrip, alarmAt = -1, askAt, stormUntil = -1, lateUntil;
     private boolean wholeList, drainsWait, stale = true; // stale: sums or hosts have changed, reckon anew
     private double waiting, reckonedAt, usualLate, mostLate, usualBad, ended, bad, warmth; // waiting: lines
-    private int mark, lastNumber;
+    private int mark, lastNumber, full; // full: number of full tables, which come before the parts
+    private boolean rush;
     private double letIn = 1, levelAt, forgetAt = Double.POSITIVE_INFINITY;
-    private double endedWell, objective = 1000, quickest = 0.2; // until the first sums
+    private double objective = 1000, quickest = 0.2; // until the first sums
     private final double[] opLevel;
 
     public Balance(StartFigures start, Orders orders) {
@@ -105,6 +101,7 @@
         mostWaiting = start.channel().mostWaiting();
         messagesMost = start.channel().messagesMost();
         messagesOver = start.channel().messagesOver();
+        standing = Math.max(2, start.standing());
         transitMost = start.channel().transitMost();
         roundTrip = 2 * start.channel().transit();
         coldShare = start.cold().startsAt();
@@ -120,6 +117,7 @@
         for (int k = 0; k < operations.length && !sliced; k++) {
             addTablesFor(k);
         }
+        full = tables.size();
         rules = List.of(
                 this::withdrawTold,
                 each(this::fails, this::markSick),
@@ -135,12 +133,11 @@
                         h -> withdraw(h, true)),
                 this::cutRestarted,
                 this::placeSlices,
-                this::bindProxies,
-                this::warnNewcomers,
+                this::dealParts,
                 this::sendSubUpdate,
+                this::bindProxies,
                 each(h -> backIn(h) && mayTrouble(), h -> withdraw(h, false)),
                 this::setLevels,
-                this::followList,
                 this::requestBarrier);
     }
 
@@ -171,6 +168,10 @@
         for (long passes = 0, fired = 1; fired > 0 && passes < 1000; passes++) { // none fires for long
             fired = rules.stream().filter(BooleanSupplier::getAsBoolean).count();
         }
+        if (now >= askAt) {
+            askAt = now + askEvery;
+            orders.followList();
+        }
         if (alarmAt <= now + 1) { // due, but for what rounding took
             alarmAt = now + 100; // a tenth of a second: shorter than any report or way here
             orders.alarm(alarmAt, 1);
@@ -182,10 +183,7 @@
         hosts.forEach(h -> h.inList = false);
     }
 
-    /**
-     * Guards against listed hosts that do not exist: one that comes up of a sudden and claims to be old is on
-     * trial, and stays out for long if that fails. It could harm by a few seconds of an old host moved here.
-     */
+    /** Guards against listed hosts that do not exist: what comes up and claims to be old is on trial. */
     public void running(int id, int zone, int kind, double weight, double started) {
         boolean unmet = !wholeList && id >= hosts.size();
         Host h = listed(id, zone, kind, weight);
@@ -218,7 +216,6 @@
 
     private void drop(Host h) {
         h.running = false;
-        h.toldAt = h.told ? h.toldAt : now;
         h.out &= newcomers().isEmpty(); // these were not there when it was shut out for its health
         h.told = stale = true;
     }
@@ -233,8 +230,7 @@
         Proxy p = proxy(id);
         p.zone = zone;
         p.usual = usual;
-        p.warnAt = now + 500;           // those that lost one steward have joined by then
-        p.bound = new int[tables.size()];
+        p.bound = new int[full];
         Arrays.fill(p.bound, -1);
         joined = Stream.concat(joined.stream(), Stream.of(p))
                 .sorted(Comparator.comparingDouble(o -> -o.usual)).toList();
@@ -318,29 +314,29 @@
 
     private Proxy proxy(int id) {
         while (proxies.size() <= id) {
-            proxies.add(new Proxy(proxies.size(), operations.length));
+            proxies.add(new Proxy());
+            proxies.get(proxies.size() - 1).id = proxies.size() - 1;
         }
         return proxies.get(id);
     }
 
     private Table addTable(int mask, int homeZone, int number) {
         Table t = new Table();
-        t.index = tables.size();
+        t.index = t.base = tables.size();
+        t.members = hosts;
         t.operations = mask;
         t.homeZone = homeZone;
-        t.number = number;
-        t.letIn = new double[operations.length];
+        t.number = sliced ? number : (lastNumber = lastNumber % 65534 + 1);
         tables.add(t);
         return t;
     }
 
-    /** Operations open to the same hosts share a table; one confined to the proxy's zone has one a zone. */
-    private void addTablesFor(int k) {
+    private void addTablesFor(int k) { // one for all open to the same hosts, and for each zone if so confined
         int alike = IntStream.range(0, operations.length).filter(j -> operations[j].openTo(operations[k]))
                 .map(j -> 1 << j).sum();
         boolean home = operations[k].homeZoneOnly();
         for (int z = 0; z < (home ? operations[k].zoneCount() : 1) && alike >> k << k == alike; z++) {
-            addTable(Integer.bitCount(alike) == operations.length ? 0 : alike, home ? z : -1, ++lastNumber);
+            addTable(Integer.bitCount(alike) == operations.length ? 0 : alike, home ? z : -1, 0);
         }
     }
 
@@ -350,7 +346,7 @@
     }
 
     private List<Proxy> users(Table t) {
-        return joined.stream().filter(p -> sliced || p.bound[t.index] == t.number).toList();
+        return joined.stream().filter(p -> sliced || p.bound[t.base] == t.number).toList();
     }
 
     private void order(Proxy p, double lines) {
@@ -365,7 +361,7 @@
     private boolean open(Host h, Table t) {
         Operation op = operations[Integer.numberOfTrailingZeros(t.operations) % operations.length];
         return (op.zones() >> h.zone & 1) != 0 && (op.kinds() >> h.kind & 1) != 0
-                && (t.homeZone < 0 || t.homeZone == h.zone);
+                && (t.homeZone < 0 || t.homeZone == h.zone) && (t.part < 0 || t.part == h.part);
     }
 
     private double laid(Host h, Table t) {
@@ -396,7 +392,6 @@
         double listed = 0;
         warmth = ended = bad = 0;
         metBy.forEach(met -> Arrays.fill(met, 0));
-        tables.forEach(t -> t.weightIn = t.weightListed = t.warmIn = 0);
         for (Host h : hosts) {
             if (h.running) {
                 ended += h.met[ENDED];
@@ -405,12 +400,15 @@
                 Arrays.setAll(metBy.get(h.kind), i -> metBy.get(h.kind)[i] + part * h.met[i]);
                 listed += h.out ? 0 : h.weight;
                 warmth += h.out ? 0 : h.weight * able(h);
-                for (Table t : tables) {
-                    double weight = open(h, t) ? h.weight : 0;
-                    t.weightListed += weight;
-                    t.weightIn += h.out ? 0 : weight;
-                    t.warmIn += h.out || !isWarm(h) ? 0 : weight;
-                }
+            }
+        }
+        for (Table t : tables) {
+            t.weightListed = t.weightIn = t.warmIn = 0;
+            for (Host h : t.members) {
+                double weight = h.running && open(h, t) ? h.weight : 0;
+                t.weightListed += weight;
+                t.weightIn += h.out ? 0 : weight;
+                t.warmIn += h.out || !isWarm(h) ? 0 : weight;
             }
         }
         warmth = listed > 0 ? warmth / listed : 1;
@@ -452,14 +450,6 @@
         return joined.stream().filter(p -> Arrays.stream(p.bound).anyMatch(b -> b == -1)).toList();
     }
 
-    /** Guards against newcomers not bound yet with hosts told of while their streams were down (30 s). */
-    private boolean warnNewcomers() {
-        List<Proxy> waits = newcomers();
-        boolean due = waits.stream().anyMatch(p -> now >= p.warnAt);
-        waits.forEach(p -> p.warnAt = due ? Double.POSITIVE_INFINITY : p.warnAt);
-        return due && each(h -> h.told && h.out && now < h.toldAt + 3e4, h -> h.out = false).getAsBoolean();
-    }
-
     // ---- 1 health from late sums and trial return
 
     /** What a try took on average, as a share of the objective; one that failed counts as late by half. */
@@ -467,10 +457,7 @@
         return (met[SPENT] / objective + 1.5 * met[BAD]) / Math.max(1, met[ENDED]);
     }
 
-    /**
-     * Guards against hosts that fail or swallow invocations, whatever shows as bad tries there and not at the
-     * best third. It could harm a slow host still needed: that goes only when all but all fail.
-     */
+    /** Guards against a host at which tries fail, and not at the best third; a slow one goes when all do. */
     private boolean fails(Host h) {
         double failed = h.met[BAD];
         double good = h.met[ENDED] - failed;
@@ -510,10 +497,7 @@
         h.strikes = h.share < h.bears ? h.strikes : Math.max(0, h.strikes - 1);
     }
 
-    /**
-     * Guards against a host that cannot bear its share while the best third can: it gets half until it is
-     * among the quickest. It could harm where a passing jam is taken for a weak host.
-     */
+    /** Guards against a host too weak for its share. It could harm where a passing jam looks like that. */
     private boolean isSlow(Host h) {
         return steady(h, 8) && now > h.restUntil && h.share > 0.6 && usualLate < 0.5
                 && lateness(h.met) > Math.max(0.55, 1.6 * usualLate) && !onlyFromSomeZones(h);
@@ -551,10 +535,7 @@
         return isWarm(h) ? 1 : coldShare + (1 - coldShare) * Math.max(0, now - h.started) / warmAfter;
     }
 
-    /**
-     * The listed weight; for a new host the design's ramp (half weight, full at 10 s), under what it can do,
-     * less where many are cold (all shares rise as theirs fall) or many tries fail (those come again).
-     */
+    /** The listed weight; for a new host the design's ramp under what it can do, less where many are cold. */
     private double wanted(Host h, Table t) {
         double age = Math.max(0, now - h.started);
         if (!h.running || !open(h, t) || sliced) {
@@ -581,9 +562,10 @@
 
     /** Guards against a restarted or weak host that keeps its full weight: cut past the windows. */
     private boolean cutRestarted() {
-        return tables.stream().anyMatch(t -> each(h -> !h.out && h.running && wanted(h, t) < 0.6 * laid(h, t)
-                && (isWarm(h) ? mayTrouble() : mayWrite(joined, 1, URGENT)), h -> lay(h, t, wanted(h, t)))
-                .getAsBoolean());
+        return each(h -> !h.out && h.running && (h.share < 1 || !isWarm(h)) && tables.stream()
+                .anyMatch(t -> wanted(h, t) < 0.6 * laid(h, t))
+                && (isWarm(h) ? mayTrouble() : mayWrite(joined, 1, URGENT)),
+                h -> tables.forEach(t -> lay(h, t, wanted(h, t)))).getAsBoolean();
     }
 
     // ---- 3 last-line guard
@@ -593,8 +575,7 @@
         return tables.stream().allMatch(t -> !open(h, t) || t.weightIn - h.weight >= 0.5 * t.weightListed);
     }
 
-    /** Guards against a table left with none but sick hosts: they are let back in. */
-    private boolean isLast(Host h) {
+    private boolean isLast(Host h) { // of a table left with none but sick hosts: they are let back in
         return h.running && tables.stream().anyMatch(t -> open(h, t)
                 && hosts.stream().noneMatch(o -> o.running && !o.sick && open(o, t)));
     }
@@ -624,7 +605,7 @@
 
     private int pending(Table t) {
         int count = (int) IntStream.range(0, operations.length).filter(k -> levelDue(t, k)).count();
-        for (Host h : hosts) {
+        for (Host h : t.members) {
             count += due(h, t) ? 1 : 0;
         }
         return count;
@@ -635,8 +616,8 @@
     }
 
     private Stream<Proxy> unbound(Table t) {
-        return joined.stream().filter(p -> !sliced && p.bound[t.index] != t.number
-                && (t.homeZone < 0 || t.homeZone == p.zone) && t.length > 0);
+        return joined.stream().filter(p -> !sliced && p.bound[t.base] != t.number
+                && (t.homeZone < 0 || t.homeZone == p.zone) && t.length > 0 && t.part < 0);
     }
 
     /** The depth rule: where binds would be last of all to finish, the table's other lines wait for them. */
@@ -654,15 +635,16 @@
     }
 
     private void layDue(Table t) {
-        hosts.stream().filter(h -> due(h, t)).limit(piece(t)).forEach(h -> lay(h, t, wanted(h, t)));
+        t.members.stream().filter(h -> due(h, t)).limit(piece(t)).forEach(h -> lay(h, t, wanted(h, t)));
         IntStream.range(0, operations.length).filter(k -> levelDue(t, k)).forEach(k -> layLevel(t, k));
         t.tries = tries();
     }
 
     /** The smallest pending sub-update goes first; each is sent whole, once all its proxies have room. */
     private boolean sendSubUpdate() {
-        Table next = tables.stream()
-                .filter(t -> (gapOver(gap()) || cutDue(t)) && pending(t) > 0 && !onlyBinds(t))
+        double gap = Math.max(roundTrip, messagesMost > 0 ? messagesOver / (0.6 * messagesMost) : 0);
+        Table next = tables.stream().filter(t -> t.length == 0 || gapOver(gap) || cutDue(t))
+                .filter(t -> pending(t) > 0 && !onlyBinds(t))
                 .filter(t -> allHaveRoom(t, Math.min(pending(t), piece(t))))
                 .min(Comparator.comparingDouble(t -> unsent(t, 1))).orElse(null);
         if (next == null) {
@@ -672,16 +654,21 @@
         return true;
     }
 
-    /** A joining proxy is bound at once, as it may hold hosts that drain. */
+    /** Newcomers first, as they may hold hosts that drain; who has a part waits for the full table. */
     private boolean bindProxies() {
-        boolean fired = false;
-        for (Table t : tables) {
-            double lines = 1 + t.length + operations.length // and the withdrawn hosts come along
-                    + hosts.stream().filter(h -> h.out && laid(h, t) > 0).count();
-            for (Proxy p : unbound(t).toList()) {
-                if (mayWrite(List.of(p), lines, LINES)) {
-                    orders.bind(t.number, t.operations, p.id);
-                    p.bound[t.index] = t.number;
+        reckon();
+        tables.stream().filter(t -> t.part >= 0 && t.warmIn == 0).forEach(t -> // one with no host left
+                users(t).forEach(p -> p.bound[t.base] = -1));
+        boolean fired = false, all = newcomers().isEmpty();
+        boolean laid = tables.stream().noneMatch(t -> t.length == 0 && t.weightIn > 0); // first the lines
+        for (Table t : laid ? tables.subList(0, full) : List.<Table>of()) {
+            for (Proxy p : unbound(t).filter(p -> all || p.bound[t.base] == -1).toList()) {
+                Table to = rush && p.bound[t.base] == -1 ? partFor(p, t) : t;
+                double lines = 1 + to.length + operations.length + // and the withdrawn hosts come along
+                        to.members.stream().filter(h -> h.out && laid(h, to) > 0).count();
+                if (mayWrite(List.of(p), lines, to == t ? LINES : URGENT)) {
+                    orders.bind(to.number, to.operations, p.id);
+                    p.bound[t.base] = to.number;
                     order(p, lines);
                     fired = true;
                 }
@@ -690,16 +677,44 @@
         return fired;
     }
 
-    // ---- 5 channel ledger
+    private Table partFor(Proxy p, Table base) {
+        List<Table> parts = tables.stream().filter(t -> t.part >= 0 && t.base == base.base && t.warmIn > 0)
+                .toList();
+        return parts.isEmpty() ? base : parts.get(p.id % parts.size());
+    }
 
     /**
-     * Later changes merge meanwhile: a round trip, or what spends 60% of the cap on messages, or a quarter of
-     * the channel on their heads. What goes to all for another reason takes along what is due.
+     * Guards against newcomers that wait over a second for full tables with old ones emptied by drains:
+     * they first get a part, as many hosts as a standing table. It could harm by uneven load meanwhile.
      */
-    private double gap() {
-        return Math.max(roundTrip, messagesMost > 0 ? messagesOver / (0.6 * messagesMost) : 0);
+    private boolean dealParts() {
+        reckon();
+        double lines = tables.stream().mapToDouble(t -> t.part < 0 ? t.length : 0).sum();
+        rush = !sliced && waiting + newcomers().size() * lines > 1000 * pace;
+        if (rush && tables.size() == full) {
+            List<Host> in = hosts.stream().filter(h -> h.running && !h.out && isWarm(h))
+                    .sorted(Comparator.comparingInt(h -> h.zone)).toList();
+            int count = Math.max(1, in.size() / standing);
+            IntStream.range(0, in.size()).forEach(i -> in.get(i).part = i % count);
+            for (int i = 0; i < count * full; i++) {
+                Table t = addTable(tables.get(i % full).operations, tables.get(i % full).homeZone, 0);
+                t.base = i % full;
+                t.part = i / full;
+                t.members = in.stream().filter(h -> h.part == t.part).toList();
+            }
+            stale = true;
+        } else if (!rush && !sliced && tables.stream().allMatch(t -> t.part < 0 || users(t).isEmpty())) {
+            tables.stream().filter(t -> t.part >= 0).forEach(t -> orders.wipe(t.number));
+            tables.subList(full, tables.size()).clear();
+            hosts.forEach(h -> h.laid = Arrays.copyOf(h.laid, full));
+            hosts.forEach(h -> h.part = -1);
+        }
+        return false;
     }
 
+    // ---- 5 channel ledger
+
+    /** Later changes merge meanwhile, with a quarter of the channel for heads; or others take them along. */
     private boolean gapOver(double least) {
         return now - sentAt >= Math.max(least, 4 * joined.size() * perMessage / pace)
                 || joined.stream().allMatch(p -> p.fresh > 0);
@@ -724,16 +739,13 @@
         return p.written.size();
     }
 
-    /** Guards against a batch held for all by one proxy that is slow, frozen or cut off: it is left out. */
-    private boolean lags(Proxy p) {
-        return !p.unanswered.isEmpty()
-                && now - p.unanswered.peek().at() > Math.max(3 * roundTrip, 2 * transitMost);
-    }
-
-    /** The window: one round trip's worth of lines, and at least 5 messages. */
-    private boolean hasRoom(Proxy p, Table t, double lines) {
-        return lags(p) || p.unanswered.size() < 5
-                || p.out + lines <= roundTrip * pace / Math.max(1, users(t).size());
+    /**
+     * The window: one round trip's worth of lines, and at least 5 messages. Guards against a batch held for
+     * all by one proxy that is slow, frozen or cut off: it is left out.
+     */
+    private boolean hasRoom(Proxy p, double lines, int users) {
+        return p.unanswered.size() < 5 || p.out + lines <= roundTrip * pace / users
+                || now - p.unanswered.peek().at() > Math.max(3 * roundTrip, 2 * transitMost);
     }
 
     /** Guards against a sub-update that no queue holds: then it goes in pieces of half of what one may. */
@@ -743,7 +755,7 @@
 
     private boolean allHaveRoom(Table t, double lines) {
         List<Proxy> users = users(t);
-        return mayWrite(users, lines, LINES) && users.stream().allMatch(p -> hasRoom(p, t, lines));
+        return mayWrite(users, lines, LINES) && users.stream().allMatch(p -> hasRoom(p, lines, users.size()));
     }
 
     private boolean requestBarrier() { // one for all messages of this reply; each proxy concerned answers it
@@ -765,8 +777,7 @@
 
     // ---- 4 levels and further tries
 
-    /** On proof alone (others come late and feed storms); none where each full host sends on to the next. */
-    private FurtherTries tries() {
+    private FurtherTries tries() { // none where each full host would send on to the next; others feed storms
         return now < stormUntil && letIn < 0.9 ? FurtherTries.NONE : FurtherTries.ONE_ON_PROOF;
     }
 
@@ -808,11 +819,10 @@
             return false;
         }
         double before = letIn;
-        endedWell = Math.max(endedWell * 0.998, good);
         if (late > 0.5 && usualLate > 0.35) {
             letIn = Math.max(0.1, letIn * Math.max(0.4, Math.min(0.55 / late, 0.95 * good / ended)));
         } else if (late < 0.4 && letIn < 1) {
-            letIn = Math.min(1, letIn * (1 + (0.45 - late) * (ended < 0.8 * endedWell ? 1 : 0.4)));
+            letIn = Math.min(1, letIn * (1 + (0.45 - late) * 0.4));
         }
         forgetAt = letIn < before ? now + 3000 : forgetAt;
         levelAt = now + (letIn < before ? 4500 : 1500); // what is in the queues ends, the sums come and fade
@@ -837,28 +847,16 @@
         }
     }
 
-    // ---- 6 start-over: lists that must be asked for; slices and their owners
-
-    private boolean followList() {
-        if (now < askAt) {
-            return false;
-        }
-        askAt = now + askEvery;
-        orders.followList();
-        return true;
-    }
+    // ---- 6 start-over: slices and their owners
 
     /** A slice has one line; a lost owner goes, and the next comes once no write can be in its hands. */
     private boolean placeSlices() {
         for (Table t : sliced ? tables : List.<Table>of()) {
-            if (t.owner != null && !t.owner.running) {
-                t.owner = null;
-                t.ownerless = now;
-            } else if (t.owner == null && now - t.ownerless > ownerAfter) {
-                t.owner = hosts.stream().filter(h -> h.running && !h.out)
-                        .min(Comparator.comparingDouble(h -> tables.stream().filter(o -> o.owner == h).count()
-                                / h.weight)).orElse(null);
-            }
+            boolean lost = t.owner != null && !t.owner.running;
+            t.ownerless = lost ? now : t.ownerless;
+            t.owner = t.owner != null && !lost ? t.owner : now - t.ownerless <= ownerAfter ? null
+                    : hosts.stream().filter(h -> h.running && !h.out).min(Comparator.comparingDouble(h ->
+                    tables.stream().filter(o -> o.owner == h).count() / h.weight)).orElse(null);
         }
         return false; // gone through before the lines are laid, it finds nothing new
     }
--- a/src/main/java/linenring/plan/StartFigures.java
+++ b/src/main/java/linenring/plan/StartFigures.java
@@ -4,7 +4,7 @@
 
 /** What a steward is told at its start and decides by. Times are milliseconds, rates are per second. */
 public record StartFigures(List<Operation> operations, ColdStart cold, Channel channel, Slices slices,
-        Measure measure, boolean listMustBeAsked, double askListWithin, boolean goneNeedNotStop) {
+        Measure measure, boolean listMustBeAsked, double askListWithin, boolean goneNeedNotStop, int standing) {
 
     /** One operation; the masks have a bit for each zone and machine kind that it is open to. */
     public record Operation(double objective, double value, long zones, long kinds, boolean homeZoneOnly,
--- a/src/main/java/linenring/wirehost/StartReader.java
+++ b/src/main/java/linenring/wirehost/StartReader.java
@@ -38,7 +38,7 @@
                         in.flag("Specifics.SingleWriter", false), in.millis("Specifics.Lease", 0),
                         in.millis("Specifics.Lingers", 0)),
                 measure(in), "on_request".equals(in.find("Discovery")), in.millis("Contract.MustAskIn", 0),
-                in.flag("Contract.DroppedStayOpen", false));
+                in.flag("Contract.DroppedStayOpen", false), in.index("Specifics.DefaultSize", 0));
     }
 
     private static Measure measure(WireLine in) {
