Behind a way that is cut, slow or lossy, proxies keep to their zone where they meet hosts too seldom

Cause: on the small fleets proxies shun hosts beyond a cut by themselves, after five failures of their own; at full size a proxy meets a host once in half a minute and goes on trying for the whole cut (far tries 100% bad for 16 s). Told apart from jams and lost hosts by the sums of a zone's proxies: far tries worse than near ones by half an objective, near ones well. Now such a zone's proxies are bound to a shared table of their zone for 10 s, if together they are asked under 0.25 a second for each pair with a host; far tries are then left out of the hosts' sums. Could harm: hosts elsewhere lost, not cut off.

--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -4,7 +4,6 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Comparator;
-import java.util.Deque;
 import java.util.List;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
@@ -17,14 +16,13 @@
 import linenring.plan.StartFigures.Operation;
 
 /**
- * Every decision of one steward. Called with what is seen: {@code clock} first, then any of the calls under
- * "what is seen", then {@code settle} once for all that came at that time: it goes through the rules until
- * none fires. The interface: it orders through {@link Orders}; it is told {@link StartFigures} at start.
- *
- * <p>The design is ESPRES: lines are held here; all pending changes of a shared table are one sub-update; the
- * smallest goes first, as a batch, once all its proxies have room in their windows of unanswered messages.
- * Beside it stand six mechanisms: 1 health from late sums and trial return; 2 cold-host guard; 3 last-line
- * guard; 4 levels and further tries; 5 channel ledger; 6 start-over (owners of slices included).
+ * Every decision of one steward. Called with what is seen: {@code clock}, then any of the calls under
+ * "what is seen", then {@code settle}, which goes through the rules until none fires. It orders through
+ * {@link Orders} and is told {@link StartFigures} at start. The design is ESPRES: lines are held here; all
+ * pending changes of a shared table are one sub-update; the smallest goes first, as a batch, once all its
+ * proxies have room in their windows of unanswered messages. Beside it stand six mechanisms: 1 health from
+ * late sums and trial return; 2 guards of cold and last hosts; 3 levels and further tries; 4 channel
+ * ledger; 5 parts of tables for newcomers and behind a cut; 6 start-over (owners of slices included).
  */
 public final class Balance {
     private static final int ENDED = 0, BAD = 1, SPENT = 2;
@@ -40,10 +38,14 @@
         double share = 1, bears = 1;    // part of its weight that health allows, and its end after a trial
         double restUntil;               // no judging of its lateness before that
         double[] met = new double[3];   // late sums: ENDED, BAD, SPENT
-        final List<double[]> metFrom = new ArrayList<>(); // the same by zone of the proxies
         double[] laid = {};             // weight in each shared table, as last sent
     }
 
+    private static final class Zone {
+        final double[] near = new double[3], far = new double[3]; // what its proxies met there and elsewhere
+        double cutUntil;                // till then they keep to it
+    }
+
     private record Message(int mark, double at, double lines) { }
 
     private static final class Proxy {
@@ -52,8 +54,8 @@
         final double[] asked = new double[Integer.SIZE]; // invocations a second, by operation
         double usual;                   // invocations a second, about, as told when it joined
         double fresh, out;              // lines ordered for it in this reply; lines not answered yet
-        final Deque<Message> unanswered = new ArrayDeque<>();
-        final Deque<Double> written = new ArrayDeque<>(); // times of the messages that the cap counts
+        final ArrayDeque<Message> unanswered = new ArrayDeque<>();
+        final ArrayDeque<Double> written = new ArrayDeque<>(); // times of the messages that the cap counts
 
     }
 
@@ -63,7 +65,7 @@
         int number, length, base, part = -1; // a part: of that full table
         List<Host> members;             // the hosts that may be in it
         Host owner;                     // slices: the host of its one line
-        double weightListed, weightIn, warmIn; // of its open hosts: all that run; not shut out; and warm
+        double weightListed, weightIn, warmIn, ableIn; // of its open hosts, by what they are
         double ownerless;
         final double[] letIn = new double[Integer.SIZE]; // by operation
         FurtherTries tries;
@@ -81,11 +83,12 @@
     private final List<Proxy> proxies = new ArrayList<>();
     private List<Proxy> joined = List.of();
     private final List<Table> tables = new ArrayList<>();
-    private final List<double[]> metBy = new ArrayList<>(); // sums of the warm hosts that are in, by kind
+    private final List<Zone> zones = Stream.generate(Zone::new).limit(Long.SIZE).toList(); // a mask's
+    private final double[][] metBy = new double[Long.SIZE][3]; // sums of the warm hosts that are in, by kind
     private final List<BooleanSupplier> rules;
     private double now, sentAt = -1e9, fadedAt, roundTrip, alarmAt = -1, askAt, stormUntil = -1, lateUntil;
     private boolean wholeList, drainsWait, stale = true; // stale: sums or hosts have changed, reckon anew
-    private double waiting, reckonedAt, usualLate, mostLate, usualBad, ended, bad, warmth; // waiting: lines
+    private double waiting, reckonedAt, usualLate, mostLate, usualBad, ended, bad, rate;
     private int mark, lastNumber, full; // full: number of full tables, which come before the parts
     private boolean rush;
     private double letIn = 1, levelAt, forgetAt = Double.POSITIVE_INFINITY;
@@ -120,6 +123,7 @@
         full = tables.size();
         rules = List.of(
                 this::withdrawTold,
+                this::senseCut,
                 each(this::fails, this::markSick),
                 each(this::isSlow, h -> setShare(h, 0.5 * h.share)),
                 each(this::isOfSlowKind, h -> h.share = h.bears = 0.5),
@@ -161,6 +165,8 @@
             double keep = Math.pow(0.5, (now - fadedAt) / 1500);
             fadedAt = now;
             hosts.forEach(h -> fade(h, keep));
+            zones.stream().flatMap(z -> Stream.of(z.near, z.far))
+                    .forEach(met -> Arrays.setAll(met, i -> met[i] * keep));
         }
     }
 
@@ -183,7 +189,6 @@
         hosts.forEach(h -> h.inList = false);
     }
 
-    /** Guards against listed hosts that do not exist: what comes up and claims to be old is on trial. */
     public void running(int id, int zone, int kind, double weight, double started) {
         boolean unmet = !wholeList && id >= hosts.size();
         Host h = listed(id, zone, kind, weight);
@@ -196,7 +201,7 @@
         h.started = started;
         h.running = true;
         h.told = false;
-        if (unmet && isWarm(h)) {
+        if (unmet && isWarm(h)) { // guards against listed hosts that do not exist
             startTrial(h, 0.15);
             h.strikes = 3; // 10 s, then 15 s out
         }
@@ -224,7 +229,6 @@
         hosts.stream().filter(h -> wholeList && !h.inList).forEach(h -> gone(h.id));
     }
 
-    /** The proxies that are asked most come first: of binds, which are all of one size, these pay most. */
     public void joined(int id, int zone, double usual) {
         lost(id);
         Proxy p = proxy(id);
@@ -233,11 +237,10 @@
         p.bound = new int[full];
         Arrays.fill(p.bound, -1);
         joined = Stream.concat(joined.stream(), Stream.of(p))
-                .sorted(Comparator.comparingDouble(o -> -o.usual)).toList();
+                .sorted(Comparator.comparingDouble(o -> -o.usual)).toList(); // asked most: bound first
     }
 
-    /** Guards against answers that cannot come: a lost stream frees its windows at once. */
-    public void lost(int id) {
+    public void lost(int id) { // guards against answers that cannot come: its windows are free at once
         Proxy p = proxy(id);
         waiting -= p.out + (p.fresh > 0 ? p.fresh + perMessage : 0);
         p.unanswered.clear();
@@ -261,10 +264,9 @@
 
     public void tally(int id, int zone, int total, int bad, double meanMs) {
         Host h = host(id);
-        while (h.metFrom.size() <= zone) {
-            h.metFrom.add(new double[3]);
-        }
-        for (double[] met : List.of(h.met, h.metFrom.get(zone))) {
+        Zone from = zones.get(zone);
+        boolean counts = zone == h.zone || now >= from.cutUntil; // beyond a cut they tell nothing of it
+        for (double[] met : List.of(zone == h.zone ? from.near : from.far, counts ? h.met : new double[3])) {
             met[ENDED] += total;
             met[BAD] += bad;
             met[SPENT] += (total - bad) * meanMs;
@@ -306,9 +308,6 @@
         h.zone = zone;
         h.kind = kind;
         h.weight = weight > 0 ? weight : 1;
-        while (metBy.size() <= kind) {
-            metBy.add(new double[3]);
-        }
         return h;
     }
 
@@ -380,8 +379,7 @@
 
     private void fade(Host h, double keep) {
         stale = true;
-        Stream.concat(Stream.of(h.met), h.metFrom.stream())
-                .forEach(met -> Arrays.setAll(met, i -> met[i] * keep));
+        Arrays.setAll(h.met, i -> h.met[i] * keep);
     }
 
     /** The fleet's figures, which no rule works out for each host: once for each input that changes them. */
@@ -389,29 +387,26 @@
         if (!stale && reckonedAt == now) {
             return;
         }
-        double listed = 0;
-        warmth = ended = bad = 0;
-        metBy.forEach(met -> Arrays.fill(met, 0));
+        ended = bad = 0;
+        Arrays.stream(metBy).forEach(met -> Arrays.fill(met, 0));
         for (Host h : hosts) {
             if (h.running) {
                 ended += h.met[ENDED];
                 bad += h.met[BAD];
                 double part = h.out || !isWarm(h) ? 0 : 1;
-                Arrays.setAll(metBy.get(h.kind), i -> metBy.get(h.kind)[i] + part * h.met[i]);
-                listed += h.out ? 0 : h.weight;
-                warmth += h.out ? 0 : h.weight * able(h);
+                Arrays.setAll(metBy[h.kind], i -> metBy[h.kind][i] + part * h.met[i]);
             }
         }
         for (Table t : tables) {
-            t.weightListed = t.weightIn = t.warmIn = 0;
+            t.weightListed = t.weightIn = t.warmIn = t.ableIn = 0;
             for (Host h : t.members) {
                 double weight = h.running && open(h, t) ? h.weight : 0;
                 t.weightListed += weight;
                 t.weightIn += h.out ? 0 : weight;
                 t.warmIn += h.out || !isWarm(h) ? 0 : weight;
+                t.ableIn += h.out ? 0 : weight * able(h);
             }
         }
-        warmth = listed > 0 ? warmth / listed : 1;
         if (stale) {
             usualLate = best(0.33, h -> lateness(h.met));
             usualBad = best(0.33, h -> h.met[BAD] / h.met[ENDED]);
@@ -421,7 +416,7 @@
         reckonedAt = now;
     }
 
-    /** Where the best part of the hosts ends. In a jam all are bad; beside broken hosts the best are not. */
+    /** Where the best part ends. In a jam all are bad; beside broken hosts the best are not. */
     private double best(double part, ToDoubleFunction<Host> figure) {
         double[] all = hosts.stream().filter(h -> h.running && !h.out && h.met[ENDED] >= 3)
                 .mapToDouble(figure).sorted().toArray();
@@ -430,8 +425,7 @@
 
     // ---- drains and withdrawals: past the windows, to all proxies
 
-    /** All at one time, as each message has a head; nothing else is written while they wait for room. */
-    private boolean withdrawTold() {
+    private boolean withdrawTold() { // all at one time, as each message has a head, and before all else
         List<Host> told = hosts.stream().filter(h -> h.told && !h.out)
                 .limit((long) Math.max(1, mostWaiting / Math.max(1, joined.size()) - perMessage)).toList();
         drainsWait = !mayWrite(joined, told.size(), DRAINS);
@@ -452,16 +446,14 @@
 
     // ---- 1 health from late sums and trial return
 
-    /** What a try took on average, as a share of the objective; one that failed counts as late by half. */
-    private double lateness(double[] met) {
+    private double lateness(double[] met) { // mean, in objectives; a try that failed counts as late by half
         return (met[SPENT] / objective + 1.5 * met[BAD]) / Math.max(1, met[ENDED]);
     }
 
     /** Guards against a host at which tries fail, and not at the best third; a slow one goes when all do. */
     private boolean fails(Host h) {
-        double failed = h.met[BAD];
-        double good = h.met[ENDED] - failed;
-        if (!h.running || h.sick || failed < (h.trialSince >= 0 ? 2 : 4) || onlyFromSomeZones(h)) {
+        double failed = h.met[BAD], good = h.met[ENDED] - failed;
+        if (!h.running || h.sick || failed < (h.trialSince >= 0 ? 2 : 4)) {
             return false; // 4 bad tries, or 2 on trial, prove enough
         }
         reckon();
@@ -469,8 +461,30 @@
         return failed >= (good + failed) * Math.max(quick ? 0.3 : 0.97, 0.15 + 2.2 * usualBad);
     }
 
-    private boolean onlyFromSomeZones(Host h) { // the way there is cut, the host is not broken
-        return h.metFrom.stream().anyMatch(met -> met[ENDED] >= 3 && lateness(met) < 0.35);
+    /**
+     * Guards against a way between zones that is cut, slow or lossy, where proxies meet a host too seldom to
+     * shun it: they keep to their own zone for a while. It could harm where only hosts elsewhere are lost.
+     */
+    private boolean senseCut() {
+        for (Zone z : zones) {
+            if (rate < 0.25 * joined.size() * hosts.size() && z.near[ENDED] >= 5 && z.far[ENDED] >= 10
+                    && lateness(z.far) > lateness(z.near) + 0.5 && lateness(z.near) < 0.5) {
+                hosts.stream().filter(h -> now >= z.cutUntil).forEach(h -> fade(h, 0)); // of the way
+                z.cutUntil = now + 10_000; // then the far hosts are tried anew
+                Arrays.fill(z.far, 0);
+            }
+            for (Table t : now < z.cutUntil ? List.copyOf(tables.subList(0, full)) : List.<Table>of()) {
+                if (tables.stream().noneMatch(o -> o.base == t.index && o.homeZone == zones.indexOf(z))) {
+                    addTable(t.operations, zones.indexOf(z), 0).base = t.index;
+                }
+            }
+        }
+        return false;
+    }
+
+    private Table reach(Proxy p, Table base) { // the full table, or that of the proxy's own zone
+        return now >= zones.get(p.zone).cutUntil ? base : tables.stream().filter(t -> t.base == base.index
+                && t.homeZone == p.zone && t.part < 0 && t.warmIn > 0 && t.length > 0).findAny().orElse(base);
     }
 
     private void markSick(Host h) {
@@ -500,14 +514,14 @@
     /** Guards against a host too weak for its share. It could harm where a passing jam looks like that. */
     private boolean isSlow(Host h) {
         return steady(h, 8) && now > h.restUntil && h.share > 0.6 && usualLate < 0.5
-                && lateness(h.met) > Math.max(0.55, 1.6 * usualLate) && !onlyFromSomeZones(h);
+                && lateness(h.met) > Math.max(0.55, 1.6 * usualLate);
     }
 
-    /** The same for all hosts of a kind beside an unhurried kind: where sums are thin, they tell together. */
-    private boolean isOfSlowKind(Host h) {
-        double best = metBy.stream().filter(m -> m[ENDED] >= 50).mapToDouble(this::lateness).min().orElse(1);
-        return best < 0.35 && steady(h, 0) && h.share == 1 && now > h.restUntil
-                && metBy.get(h.kind)[ENDED] >= 50 && lateness(metBy.get(h.kind)) > Math.max(0.5, 2 * best);
+    private boolean isOfSlowKind(Host h) { // where sums are thin, hosts of a kind tell of each other
+        double late = lateness(metBy[h.kind]);
+        return late > 0.5 && metBy[h.kind][ENDED] >= 50 && steady(h, 0) && h.share == 1
+                && now > h.restUntil && Arrays.stream(metBy)
+                .anyMatch(m -> m[ENDED] >= 50 && lateness(m) < Math.min(0.35, late / 2));
     }
 
     private boolean wasSlow(Host h) {
@@ -535,7 +549,7 @@
         return isWarm(h) ? 1 : coldShare + (1 - coldShare) * Math.max(0, now - h.started) / warmAfter;
     }
 
-    /** The listed weight; for a new host the design's ramp under what it can do, less where many are cold. */
+    /** The listed weight; for a new host the design's ramp under what it can do, less as many tries fail. */
     private double wanted(Host h, Table t) {
         double age = Math.max(0, now - h.started);
         if (!h.running || !open(h, t) || sliced) {
@@ -544,15 +558,13 @@
             return h.weight * h.share;
         }
         reckon();
+        double warmth = t.weightIn > 0 ? t.ableIn / t.weightIn : 1; // all shares rise as the cold ones' fall
         double well = 1 - bad / Math.max(20, ended);
         double sure = able(h) * (0.5 + 0.5 * Math.min(1, age / warmAfter)); // a jam not seen yet doubles it
         return h.weight * h.share * Math.min(0.5 + age / 20_000, sure) * warmth * Math.max(0.01, well);
     }
 
-    /**
-     * Guards against a cold host sent the repeats of all, by proxies that shun the hosts that failed them. It
-     * waits outside while warm ones are in. It could harm where only the cold could end a storm; levels do.
-     */
+    /** Guards against a cold host sent the repeats of all: it waits for the end while warm ones are in. */
     private boolean keptFromStorm(Host h) {
         boolean young = now - h.started < warmAfter / 3; // so cold that a jam's first seconds push it over
         reckon();
@@ -568,7 +580,7 @@
                 h -> tables.forEach(t -> lay(h, t, wanted(h, t)))).getAsBoolean();
     }
 
-    // ---- 3 last-line guard
+    // ---- 2 guard of last hosts
 
     private boolean spared(Host h) { // half of the weight that each table can use stays in
         reckon();
@@ -582,11 +594,11 @@
 
     // ---- the design: sub-updates over shared tables
 
-    /** A line is due when it comes or goes, or its weight is off by an eighth: a ramp is a dozen steps. */
     private boolean due(Host h, Table t) {
         double want = wanted(h, t), has = laid(h, t);
         return (has > 0 || !keptFromStorm(h)) && ((want == 0) != (has == 0)
-                || Math.abs(want - has) > 0.12 * Math.max(want, has) || want == h.weight && has != want);
+                || Math.abs(want - has) > 0.12 * Math.max(want, has) // a ramp is a dozen steps
+                || want == h.weight && has != want);
     }
 
     private boolean backIn(Host h) { // when every table has its due weight
@@ -616,7 +628,7 @@
     }
 
     private Stream<Proxy> unbound(Table t) {
-        return joined.stream().filter(p -> !sliced && p.bound[t.base] != t.number
+        return joined.stream().filter(p -> !sliced && p.bound[t.base] != reach(p, t).number
                 && (t.homeZone < 0 || t.homeZone == p.zone) && t.length > 0 && t.part < 0);
     }
 
@@ -654,8 +666,7 @@
         return true;
     }
 
-    /** Newcomers first, as they may hold hosts that drain; who has a part waits for the full table. */
-    private boolean bindProxies() {
+    private boolean bindProxies() { // newcomers first, as they may hold hosts that drain
         reckon();
         tables.stream().filter(t -> t.part >= 0 && t.warmIn == 0).forEach(t -> // one with no host left
                 users(t).forEach(p -> p.bound[t.base] = -1));
@@ -663,7 +674,7 @@
         boolean laid = tables.stream().noneMatch(t -> t.length == 0 && t.weightIn > 0); // first the lines
         for (Table t : laid ? tables.subList(0, full) : List.<Table>of()) {
             for (Proxy p : unbound(t).filter(p -> all || p.bound[t.base] == -1).toList()) {
-                Table to = rush && p.bound[t.base] == -1 ? partFor(p, t) : t;
+                Table to = rush && p.bound[t.base] == -1 ? partFor(p, t) : reach(p, t);
                 double lines = 1 + to.length + operations.length + // and the withdrawn hosts come along
                         to.members.stream().filter(h -> h.out && laid(h, to) > 0).count();
                 if (mayWrite(List.of(p), lines, to == t ? LINES : URGENT)) {
@@ -684,14 +695,14 @@
     }
 
     /**
-     * Guards against newcomers that wait over a second for full tables with old ones emptied by drains:
-     * they first get a part, as many hosts as a standing table. It could harm by uneven load meanwhile.
+     * Guards against newcomers that wait over a second for full tables with old ones emptied by drains: they
+     * first get a part, as many hosts as a standing table. It could harm by uneven load meanwhile.
      */
     private boolean dealParts() {
         reckon();
         double lines = tables.stream().mapToDouble(t -> t.part < 0 ? t.length : 0).sum();
         rush = !sliced && waiting + newcomers().size() * lines > 1000 * pace;
-        if (rush && tables.size() == full) {
+        if (rush && tables.stream().allMatch(t -> t.part < 0)) {
             List<Host> in = hosts.stream().filter(h -> h.running && !h.out && isWarm(h))
                     .sorted(Comparator.comparingInt(h -> h.zone)).toList();
             int count = Math.max(1, in.size() / standing);
@@ -703,8 +714,9 @@
                 t.members = in.stream().filter(h -> h.part == t.part).toList();
             }
             stale = true;
-        } else if (!rush && !sliced && tables.stream().allMatch(t -> t.part < 0 || users(t).isEmpty())) {
-            tables.stream().filter(t -> t.part >= 0).forEach(t -> orders.wipe(t.number));
+        } else if (!rush && !sliced && zones.stream().allMatch(z -> now >= z.cutUntil)
+                && tables.stream().allMatch(t -> t.index < full || users(t).isEmpty())) {
+            tables.subList(full, tables.size()).forEach(t -> orders.wipe(t.number));
             tables.subList(full, tables.size()).clear();
             hosts.forEach(h -> h.laid = Arrays.copyOf(h.laid, full));
             hosts.forEach(h -> h.part = -1);
@@ -712,10 +724,9 @@
         return false;
     }
 
-    // ---- 5 channel ledger
+    // ---- 4 channel ledger
 
-    /** Later changes merge meanwhile, with a quarter of the channel for heads; or others take them along. */
-    private boolean gapOver(double least) {
+    private boolean gapOver(double least) { // later changes merge; a quarter of the channel for heads
         return now - sentAt >= Math.max(least, 4 * joined.size() * perMessage / pace)
                 || joined.stream().allMatch(p -> p.fresh > 0);
     }
@@ -724,7 +735,6 @@
         return gapOver(0) && mayWrite(joined, 1, URGENT);
     }
 
-    /** Guards against a full queue and too many messages: each kind of order may use a part of both. */
     private boolean mayWrite(List<Proxy> to, double lines, double part) {
         return (part == DRAINS || !drainsWait)
                 && waiting + to.stream().mapToDouble(p -> cost(p, lines)).sum() <= part * mostWaiting
@@ -733,16 +743,11 @@
     }
 
     private int capUsed(Proxy p) {
-        while (!p.written.isEmpty() && p.written.peek() <= now - messagesOver - 1) {
-            p.written.poll();
-        }
+        p.written.removeIf(at -> at <= now - messagesOver - 1);
         return p.written.size();
     }
 
-    /**
-     * The window: one round trip's worth of lines, and at least 5 messages. Guards against a batch held for
-     * all by one proxy that is slow, frozen or cut off: it is left out.
-     */
+    /** The window: a round trip's lines, at least 5 messages. Who is slow or frozen holds up no batch. */
     private boolean hasRoom(Proxy p, double lines, int users) {
         return p.unanswered.size() < 5 || p.out + lines <= roundTrip * pace / users
                 || now - p.unanswered.peek().at() > Math.max(3 * roundTrip, 2 * transitMost);
@@ -775,7 +780,7 @@
         return true;
     }
 
-    // ---- 4 levels and further tries
+    // ---- 3 levels and further tries
 
     private FurtherTries tries() { // none where each full host would send on to the next; others feed storms
         return now < stormUntil && letIn < 0.9 ? FurtherTries.NONE : FurtherTries.ONE_ON_PROOF;
@@ -794,12 +799,9 @@
         return joined.stream().mapToDouble(p -> p.asked[k]).sum();
     }
 
-    /**
-     * Guards against a fleet that answers late or not at all, whatever made it too small: the share let in
-     * goes down towards what still ends well, and up the faster the quicker answers are.
-     */
+    /** Guards against a fleet too small, whatever made it so: what is let in follows what ends well. */
     private boolean setLevels() {
-        double rate = IntStream.range(0, operations.length).mapToDouble(this::asked).sum();
+        rate = IntStream.range(0, operations.length).mapToDouble(this::asked).sum();
         double work = IntStream.range(0, operations.length).mapToDouble(this::work).sum();
         stale |= rate > 0 && objective != work / rate;
         objective = rate > 0 ? work / rate : objective;
