Drains go as many as find room; withdrawals counted where they go; depth rule over full tables

Now a quarter of the queue is room enough, and a withdrawal counts at newcomers and at those whose tables name the host.

--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -234,8 +234,7 @@
         Proxy p = proxy(id);
         p.zone = zone;
         p.usual = usual;
-        p.bound = new int[full];
-        Arrays.fill(p.bound, -1);
+        p.bound = IntStream.range(0, full).map(b -> -1).toArray();
         joined = Stream.concat(joined.stream(), Stream.of(p))
                 .sorted(Comparator.comparingDouble(o -> -o.usual)).toList(); // asked most: bound first
     }
@@ -291,8 +290,6 @@
         setLaid(host(id), sliceTable(slice), weight);
     }
 
-    // ---- records
-
     private Host host(int id) {
         while (hosts.size() <= id) {
             hosts.add(new Host());
@@ -423,25 +420,30 @@
         return all.length > 0 ? all[(int) (all.length * part)] : 0;
     }
 
-    // ---- drains and withdrawals: past the windows, to all proxies
-
-    private boolean withdrawTold() { // all at one time, as each message has a head, and before all else
-        List<Host> told = hosts.stream().filter(h -> h.told && !h.out)
-                .limit((long) Math.max(1, mostWaiting / Math.max(1, joined.size()) - perMessage)).toList();
-        drainsWait = !mayWrite(joined, told.size(), DRAINS);
-        told.stream().filter(h -> !drainsWait).forEach(h -> withdraw(h, true));
-        return !told.isEmpty() && !drainsWait;
+    private boolean withdrawTold() { // together, as each message has a head, a quarter of the queue at least
+        List<Host> told = hosts.stream().filter(h -> h.told && !h.out).toList();
+        double users = Math.max(1, joined.size()), room = (mostWaiting - waiting) / users - perMessage;
+        double least = Math.min(told.size(), Math.max(1, 0.25 * mostWaiting / users - perMessage));
+        drainsWait = least > 0 && !mayWrite(joined, least, DRAINS); // nothing else is written meanwhile
+        told.stream().limit(drainsWait ? 0 : (long) Math.max(1, room)).forEach(h -> withdraw(h, true));
+        return least > 0 && !drainsWait;
     }
 
     private void withdraw(Host h, boolean out) {
         h.out = out;
         stale = true;
         orders.withdraw(h.id, out);
-        (inTables(h) ? joined : newcomers()).forEach(p -> order(p, 1));
+        List<Table> in = tables.stream().filter(t -> laid(h, t) > 0).toList(); // no others get a message
+        joined.stream().filter(p -> sliced || newcomer(p)
+                || in.stream().anyMatch(t -> p.bound[t.base] == t.number)).forEach(p -> order(p, 1));
     }
 
     private List<Proxy> newcomers() {
-        return joined.stream().filter(p -> Arrays.stream(p.bound).anyMatch(b -> b == -1)).toList();
+        return joined.stream().filter(this::newcomer).toList();
+    }
+
+    private boolean newcomer(Proxy p) {
+        return Arrays.stream(p.bound).anyMatch(b -> b == -1);
     }
 
     // ---- 1 health from late sums and trial return
@@ -580,8 +582,6 @@
                 h -> tables.forEach(t -> lay(h, t, wanted(h, t)))).getAsBoolean();
     }
 
-    // ---- 2 guard of last hosts
-
     private boolean spared(Host h) { // half of the weight that each table can use stays in
         reckon();
         return tables.stream().allMatch(t -> !open(h, t) || t.weightIn - h.weight >= 0.5 * t.weightListed);
@@ -592,8 +592,6 @@
                 && hosts.stream().noneMatch(o -> o.running && !o.sick && open(o, t)));
     }
 
-    // ---- the design: sub-updates over shared tables
-
     private boolean due(Host h, Table t) {
         double want = wanted(h, t), has = laid(h, t);
         return (has > 0 || !keptFromStorm(h)) && ((want == 0) != (has == 0)
@@ -634,8 +632,8 @@
 
     /** The depth rule: where binds would be last of all to finish, the table's other lines wait for them. */
     private boolean onlyBinds(Table t) {
-        double longest = tables.stream().mapToDouble(o -> unsent(o, 1) + unsent(o, 2)).max().orElse(0) / pace;
-        return unsent(t, 2) > 0 && (2 * roundTrip + unsent(t, 2) / pace) * 1.05 > longest;
+        return t.index < full && unsent(t, 2) > 0 && (2 * roundTrip * pace + unsent(t, 2)) * 1.05
+                > tables.subList(0, full).stream().mapToDouble(o -> unsent(o, 1) + unsent(o, 2)).max().orElse(0);
     }
 
     private void lay(Host h, Table t, double weight) {
@@ -849,8 +847,6 @@
         }
     }
 
-    // ---- 6 start-over: slices and their owners
-
     /** A slice has one line; a lost owner goes, and the next comes once no write can be in its hands. */
     private boolean placeSlices() {
         for (Table t : sliced ? tables : List.<Table>of()) {
