Cold hosts come in while the fleet is late but in no storm, at three quarters of what they surely can

Cause: new boxes kept outside while sums, seconds late, told of a late fleet, and at half of their least ability.

--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -86,7 +86,7 @@
     private final List<Zone> zones = Stream.generate(Zone::new).limit(Long.SIZE).toList(); // a mask's
     private final double[][] metBy = new double[Long.SIZE][3]; // sums of the warm hosts that are in, by kind
     private final List<BooleanSupplier> rules;
-    private double now, sentAt = -1e9, fadedAt, roundTrip, alarmAt = -1, askAt, stormUntil = -1, lateUntil;
+    private double now, sentAt = -1e9, fadedAt, roundTrip, alarmAt = -1, askAt, stormUntil = -1;
     private boolean wholeList, drainsWait, stale = true; // stale: sums or hosts have changed, reckon anew
     private double waiting, reckonedAt, usualLate, mostLate, usualBad, ended, bad, rate;
     private int mark, lastNumber, full; // full: number of full tables, which come before the parts
@@ -158,8 +158,7 @@
     public void clock(double at) {
         now = at;
         if (stormUntil < 0) {
-            stormUntil = now + 4000; // a fresh start knows nothing: by then the first sums have come,
-            lateUntil = now + 10_000; // and by then a trend shows
+            stormUntil = now + 4000; // a fresh start knows nothing: by then the first sums have come
         }
         if (now - fadedAt >= 100) { // no finer than the alarms
             double keep = Math.pow(0.5, (now - fadedAt) / 1500);
@@ -562,15 +561,14 @@
         reckon();
         double warmth = t.weightIn > 0 ? t.ableIn / t.weightIn : 1; // all shares rise as the cold ones' fall
         double well = 1 - bad / Math.max(20, ended);
-        double sure = able(h) * (0.5 + 0.5 * Math.min(1, age / warmAfter)); // a jam not seen yet doubles it
+        double sure = able(h) * (0.75 + 0.25 * Math.min(1, age / warmAfter));
         return h.weight * h.share * Math.min(0.5 + age / 20_000, sure) * warmth * Math.max(0.01, well);
     }
 
     /** Guards against a cold host sent the repeats of all: it waits for the end while warm ones are in. */
     private boolean keptFromStorm(Host h) {
-        boolean young = now - h.started < warmAfter / 3; // so cold that a jam's first seconds push it over
         reckon();
-        return now < (young ? Math.max(lateUntil, stormUntil) : stormUntil) && !isWarm(h)
+        return now < stormUntil && !isWarm(h)
                 && tables.stream().allMatch(t -> !open(h, t) || t.warmIn > 0);
     }
 
@@ -633,7 +631,8 @@
     /** The depth rule: where binds would be last of all to finish, the table's other lines wait for them. */
     private boolean onlyBinds(Table t) {
         return t.index < full && unsent(t, 2) > 0 && (2 * roundTrip * pace + unsent(t, 2)) * 1.05
-                > tables.subList(0, full).stream().mapToDouble(o -> unsent(o, 1) + unsent(o, 2)).max().orElse(0);
+                > tables.subList(0, full).stream().mapToDouble(o -> unsent(o, 1) + unsent(o, 2)).max()
+                .orElse(0);
     }
 
     private void lay(Host h, Table t, double weight) {
@@ -809,7 +808,6 @@
         quickest = ended < 20 ? quickest : Math.min(quickest, usualLate); // unhurried
         boolean storm = good < ended - 0.3 * Math.max(20, ended) || late > Math.max(0.45, 4 * quickest);
         stormUntil = storm ? now + 3000 : stormUntil; // a fifth of the hosts dead makes less of one
-        lateUntil = late > Math.max(0.3, 2.5 * quickest) ? now + 3000 : lateUntil;
         if (now >= forgetAt) {
             forgetAt = Double.POSITIVE_INFINITY;
             hosts.forEach(h -> fade(h, 0)); // what ended till now was let in before the cut
