On a slow channel only drains are written behind a quarter of the queue

Cause: 11,000 lines of health and tables were queued before them, which is 1.7 s at the usual pace and 6 s then. Now, while answers take over half of the drain grace, nothing but drains is written beyond a quarter of the queue. Could harm: health and levels wait on a slow channel.

--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -76,7 +76,7 @@
     private final Operation[] operations;
     private final Measure measure;
     private final double pace, perMessage, mostWaiting, messagesOver, transitMost, coldShare, warmAfter;
-    private final double askEvery, ownerAfter; // ownerAfter: no write is in a former owner's hands; or -1
+    private final double grace, askEvery, ownerAfter; // ownerAfter: no write in a former owner's hands; or -1
     private final int messagesMost, standing;
     private final boolean goneNeedNotStop, sliced;
     private final List<Host> hosts = new ArrayList<>();
@@ -106,6 +106,7 @@
         messagesOver = start.channel().messagesOver();
         standing = Math.max(2, start.standing());
         transitMost = start.channel().transitMost();
+        grace = start.channel().grace();
         roundTrip = 2 * start.channel().transit();
         coldShare = start.cold().startsAt();
         warmAfter = start.cold().warmAfter();
@@ -733,7 +734,8 @@
     }
 
     private boolean mayWrite(List<Proxy> to, double lines, double part) {
-        return (part == DRAINS || !drainsWait)
+        boolean slow = roundTrip > 0.5 * grace && waiting > 0.25 * mostWaiting; // a drain would come too late
+        return (part == DRAINS || !drainsWait && !slow)
                 && waiting + to.stream().mapToDouble(p -> cost(p, lines)).sum() <= part * mostWaiting
                 && to.stream().allMatch(p -> messagesMost == 0 || p.fresh > 0
                 || capUsed(p) + 1 <= Math.min(part + 0.2, Math.max(part, URGENT)) * messagesMost);
--- a/src/test/java/linenring/plan/BalanceTest.java
+++ b/src/test/java/linenring/plan/BalanceTest.java
@@ -390,4 +390,27 @@
         assertEquals(0.5, f.weight(0, 30));
         assertEquals(1, f.weight(0, 10));
     }
+
+    @Test
+    void onASlowChannelOnlyDrainsAreWrittenBehindAQuarterOfTheQueue() {
+        FakeHost f = new FakeHost(figures(0)).fleet(12, 40);
+        f.answerMs = 4000; // the grace is 2 s
+        f.starts(12);
+        f.pass(3000);
+        f.silent.addAll(f.joined);
+        f.drains(0);
+        f.settle();
+        f.drains(1);
+        f.settle(); // 480 of 1500 lines
+        f.starts(13);
+        f.pass(3000);
+        assertEquals(0, f.weight(0, 13));
+        f.drains(2);
+        f.settle();
+        assertEquals(Set.of(0, 1, 2), f.out);
+        f.silent.clear();
+        f.answerMs = 200;
+        f.pass(3000);
+        assertTrue(f.weight(0, 13) > 0);
+    }
 }
--- a/src/test/java/linenring/plan/FakeHost.java
+++ b/src/test/java/linenring/plan/FakeHost.java
@@ -20,7 +20,7 @@
     final Set<Integer> joined = new TreeSet<>();
     final List<String> said = new ArrayList<>();
     final Balance balance;
-    double now = 100_000;
+    double now = 100_000, answerMs = 200;
     int barriers;
     private final List<Integer> pending = new ArrayList<>(); // marks not answered yet
 
@@ -87,7 +87,7 @@
             balance.clock(now);
             for (int mark : pending) {
                 joined.stream().filter(p -> !silent.contains(p))
-                        .forEach(p -> balance.inForce(p, mark, 200));
+                        .forEach(p -> balance.inForce(p, mark, answerMs));
             }
             pending.clear();
             balance.settle();
