--- a/src/main/java/linenring/Main.java
+++ b/src/main/java/linenring/Main.java
@@ -1,22 +1,78 @@
 package linenring;
 
+import java.io.FileDescriptor;
+import java.io.FileOutputStream;
 import java.io.IOException;
+import java.io.PrintStream;
+import linenring.configuration.Configuration;
+import linenring.configuration.ConfigurationReader;
+import linenring.discovery.HostWatch;
+import linenring.exchange.Exchange;
+import linenring.log.Log;
+import linenring.message.Codec;
+import linenring.steward.Steward;
+import linenring.streams.StreamServer;
 import linenring.wirehost.WireHost;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
 
 /** The command line: one subcommand for each way the decisions are reached. */
 public final class Main {
     private static final String USAGE = """
             usage: linenring SUBCOMMAND
+              serve      be a steward on sockets, as GW_CONFIG and the environment say
               wirehost   decide over the simulator's wire on standard input and output""";
+    private static final int THREADS = 8; // two selectors, their helpers and one to spare: all of them short of work
 
     private Main() {
     }
 
     public static void main(String[] args) throws IOException {
-        if (args.length != 1 || !args[0].equals("wirehost")) {
-            System.err.println(USAGE);
-            System.exit(2);
+        String subcommand = args.length == 1 ? args[0] : "";
+        switch (subcommand) {
+            case "wirehost" -> System.exit(WireHost.run(System.in, System.out, System.err));
+            case "serve" -> System.exit(serve());
+            default -> {
+                System.err.println(USAGE);
+                System.exit(2);
+            }
         }
-        System.exit(WireHost.run(System.in, System.out, System.err));
+    }
+
+    /** Serves until the process is told to end; returns the exit code where it can't. */
+    private static int serve() {
+        Configuration.Outcome read = ConfigurationReader.read(System.getenv());
+        Configuration told = read.configuration();
+        if (told == null) {
+            System.err.println("linenring: " + read.fault());
+            return 3;
+        }
+        Log log = new Log(new PrintStream(new FileOutputStream(FileDescriptor.err), true));
+        Exchange exchange = new Exchange();
+        Codec codec = new Codec(told.names());
+        Steward steward = new Steward(told.figures(), told.names(), told.known(), exchange, log);
+        QueuedThreadPool threads = new QueuedThreadPool(THREADS, 2);
+        ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler("timer", true);
+        threads.setDaemon(true);
+        try {
+            threads.start();
+            scheduler.start();
+            StreamServer.Opened opened = StreamServer.open(told.listen(), told.sockets(), codec, exchange, log,
+                    threads, scheduler);
+            if (opened.server() == null) {
+                System.err.println("linenring: cannot listen at " + told.listen() + ", though "
+                        + opened.reached().name().toLowerCase(java.util.Locale.ROOT) + ": " + opened.fault());
+                return 4;
+            }
+            new HostWatch(told.discovery(), told.known(), codec, exchange, log, threads, scheduler).open();
+        } catch (Exception e) { // Jetty's start() may throw any
+            System.err.println("linenring: cannot start: " + e);
+            return 4;
+        }
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> log.info("steward", "is told to end")));
+        log.info("steward", told.name() + " serves at " + told.listen() + ", "
+                + java.lang.management.ManagementFactory.getRuntimeMXBean().getUptime() + " ms after its start");
+        steward.run();
+        return 0;
     }
 }
--- /dev/null
+++ b/src/main/java/linenring/discovery/AgentConnection.java
@@ -0,0 +1,226 @@
+package linenring.discovery;
+
+import java.io.IOException;
+import java.nio.ByteBuffer;
+import java.util.Arrays;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeoutException;
+import linenring.discovery.HostWatch.Ended;
+import linenring.discovery.HostWatch.Ended.Reached;
+import linenring.message.Decoded;
+import linenring.message.HostList;
+import org.eclipse.jetty.http.HttpException;
+import org.eclipse.jetty.http.HttpField;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpGenerator;
+import org.eclipse.jetty.http.HttpHeader;
+import org.eclipse.jetty.http.HttpParser;
+import org.eclipse.jetty.http.HttpURI;
+import org.eclipse.jetty.http.HttpVersion;
+import org.eclipse.jetty.http.MetaData;
+import org.eclipse.jetty.io.AbstractConnection;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.Invocable;
+
+/** One request to discovery's agent: the whole list, or a watch that stays open. */
+final class AgentConnection extends AbstractConnection implements HttpParser.ResponseHandler {
+    private static final int READ = 16 * 1024;
+    private static final int BODY_MOST = 8 << 20; // some 60,000 hosts
+    private static final long SILENT_MS = 3000;   // a blank line is due every 2 s
+
+    private final HostWatch watch;
+    private final String authority, target;
+    private final boolean once;
+    private final HttpParser parser = new HttpParser(this);
+    private final ByteBuffer read = ByteBuffer.allocate(READ);
+    private byte[] line = new byte[4096];
+    private int length, status;
+    private Reached reached = Reached.CONNECTED;
+    private String broken;
+    private boolean complete, ended;
+
+    AgentConnection(EndPoint endPoint, Executor executor, HostWatch watch, String authority, String target,
+            boolean once) {
+        super(endPoint, executor);
+        this.watch = watch;
+        this.authority = authority;
+        this.target = target;
+        this.once = once;
+        endPoint.setIdleTimeout(SILENT_MS);
+    }
+
+    @Override
+    public Invocable.InvocationType getInvocationType() {
+        return Invocable.InvocationType.NON_BLOCKING;
+    }
+
+    @Override
+    public void onOpen() {
+        super.onOpen();
+        try {
+            MetaData.Request request = new MetaData.Request("GET", HttpURI.from("http://" + authority + target),
+                    HttpVersion.HTTP_1_1, HttpFields.build().add(HttpHeader.HOST, authority)
+                    .add(HttpHeader.ACCEPT, "application/json"), 0);
+            HttpGenerator generator = new HttpGenerator();
+            ByteBuffer header = ByteBuffer.allocate(1024);
+            header.flip();
+            HttpGenerator.Result result = generator.generateRequest(request, null, null, null, true);
+            if (result == HttpGenerator.Result.NEED_HEADER) {
+                header.clear();
+                result = generator.generateRequest(request, header, null, null, true);
+            }
+            if (result != HttpGenerator.Result.FLUSH) {
+                end("the request could not be written: " + result);
+                return;
+            }
+            reached = Reached.ASKED;
+            getEndPoint().write(Callback.from(() -> { }, cause -> end("reset")), header);
+            fillInterested();
+        } catch (IOException | RuntimeException e) {
+            end("fault: " + e);
+        }
+    }
+
+    @Override
+    public void onFillable() {
+        try {
+            while (!ended) {
+                read.clear().flip();
+                int got = getEndPoint().fill(read);
+                if (got == 0) {
+                    fillInterested();
+                    return;
+                }
+                if (got < 0) {
+                    parser.atEOF();
+                    parser.parseNext(read);
+                    end(broken != null ? broken : "ended by its peer");
+                    return;
+                }
+                while (read.hasRemaining() && broken == null && !complete) {
+                    parser.parseNext(read);
+                }
+                if (broken != null || complete) {
+                    end(broken != null ? broken : "the answer is complete");
+                    return;
+                }
+            }
+        } catch (IOException e) {
+            end("reset");
+        } catch (RuntimeException e) { // no fault here reaches further than this attempt
+            end("fault: " + e);
+        }
+    }
+
+    @Override
+    public boolean onIdleExpired(TimeoutException timeout) {
+        end("nothing came for " + SILENT_MS + " ms");
+        return false;
+    }
+
+    @Override
+    protected void onFillInterestedFailed(Throwable cause) {
+        end("reset");
+    }
+
+    @Override
+    public void onClose(Throwable cause) {
+        super.onClose(cause);
+        end("reset");
+    }
+
+    private synchronized void end(String why) {
+        if (ended) {
+            return;
+        }
+        ended = true;
+        getEndPoint().close();
+        if (once && complete && broken == null && reached == Reached.TOLD) {
+            watch.listedWhole();
+        } else {
+            watch.ended(new Ended(reached, why));
+        }
+    }
+
+    // ---- the answer
+
+    @Override
+    public void startResponse(HttpVersion version, int answered, String reason) {
+        status = answered;
+        reached = Reached.ANSWERED;
+    }
+
+    @Override
+    public void parsedHeader(HttpField field) {
+        // none matters
+    }
+
+    @Override
+    public boolean headerComplete() {
+        if (status != 200) {
+            broken = "status " + status;
+        }
+        return broken != null;
+    }
+
+    @Override
+    public boolean content(ByteBuffer content) {
+        while (content.hasRemaining() && broken == null) {
+            byte b = content.get();
+            if (b == '\n' && !once) {
+                lineEnds();
+            } else if (length == BODY_MOST) {
+                broken = "a line of over " + BODY_MOST + " bytes";
+            } else {
+                line = length == line.length ? Arrays.copyOf(line, 2 * length) : line;
+                line[length++] = b;
+            }
+        }
+        return broken != null;
+    }
+
+    private void lineEnds() {
+        int whole = length;
+        length = 0;
+        boolean blank = true;
+        for (int i = 0; i < whole && blank; i++) {
+            blank = line[i] == ' ' || line[i] == '\r' || line[i] == '\t';
+        }
+        if (blank) {
+            return; // a sign of life
+        }
+        Decoded<HostList> list = watch.codec.hostList(line, whole);
+        if (list.value() == null) {
+            broken = "can't be read, " + list.fault();
+        } else if (!watch.told(list.value())) {
+            broken = "changes where no list is held";
+        } else {
+            reached = Reached.TOLD;
+        }
+    }
+
+    @Override
+    public boolean contentComplete() {
+        return false;
+    }
+
+    @Override
+    public boolean messageComplete() {
+        if (length > 0 && broken == null) {
+            lineEnds();
+        }
+        complete = true;
+        return true;
+    }
+
+    @Override
+    public void earlyEOF() {
+        broken = broken == null ? "ended by its peer" : broken;
+    }
+
+    @Override
+    public void badMessage(HttpException failure) {
+        broken = "no HTTP answer: " + failure.getReason();
+    }
+}
--- a/src/main/java/linenring/wirehost/StartReader.java
+++ b/src/main/java/linenring/figures/StartReader.java
@@ -1,22 +1,22 @@
-package linenring.wirehost;
+package linenring.figures;
 
 import java.util.ArrayList;
 import java.util.List;
 import linenring.plan.StartFigures;
 import linenring.plan.StartFigures.Measure;
 
-/** Reads the figures of a {@code provision} line. What is absent gets the value that changes nothing. */
-final class StartReader {
+/** Reads the figures a steward is told at its start. What is absent gets the value that changes nothing. */
+public final class StartReader {
     private StartReader() {
     }
 
-    static StartFigures read(WireLine in) {
+    public static StartFigures read(Lookup in) {
         String[] zones = in.list("Azs");
         String[] kinds = in.list("Kinds");
         String[] home = in.list("Specifics.HomeOnly");
         int count = in.index("Classes.count", 0);
         if (count > 31) {
-            throw in.bad("field Classes.count: at most 31 operations are understood");
+            throw in.bad("Classes.count", ": at most 31 operations are understood");
         }
         List<StartFigures.Operation> operations = new ArrayList<>();
         for (int k = 0; k < count; k++) {
@@ -41,7 +41,17 @@
                 in.flag("Contract.DroppedStayOpen", false), in.index("Specifics.DefaultSize", 0));
     }
 
-    private static Measure measure(WireLine in) {
+    /** The names behind the indices of zones, kinds and operations, and the number of proxies. */
+    public static Names names(Lookup in) {
+        List<String> operations = new ArrayList<>();
+        for (int k = 0; k < in.index("Classes.count"); k++) {
+            operations.add(in.text("Classes." + k + ".Name"));
+        }
+        return new Names(List.of(in.list("Azs")), List.of(in.list("Kinds")), operations,
+                in.index("Specifics.ProxyCount"), in.millis("Quantum", 4));
+    }
+
+    private static Measure measure(Lookup in) {
         String word = in.find("Specifics.ThrottleBy");
         return switch (word == null ? "" : word) {
             case "fraction" -> Measure.SHARE;
@@ -51,7 +61,7 @@
     }
 
     /** A bit for each name of the list that the field confines an operation to; absent or empty: all. */
-    private static long mask(WireLine in, String field, String[] names) {
+    private static long mask(Lookup in, String field, String[] names) {
         long mask = 0;
         for (String word : in.list(field)) {
             for (int i = 0; i < names.length && i < 63; i++) {
--- /dev/null
+++ b/src/main/java/linenring/message/Order.java
@@ -0,0 +1,25 @@
+package linenring.message;
+
+import java.util.List;
+
+/** One message to one proxy: its parts stand on lines of their own and take effect together. */
+public record Order(List<Part> parts) {
+    /** More are not understood as one message. */
+    public static final int PARTS_MOST = 64;
+
+    /** Asks for no answer. */
+    public static final int NO_MARK = -1;
+
+    /** One line of a table. */
+    public record Line(String host, double weight) { }
+
+    /** How much is let in, and the way to try again (0 to 3). */
+    public record Level(double letIn, int tries) { }
+
+    /**
+     * One part. {@code operations}: names of those meant, empty for all. {@code whole}: the lines are the whole
+     * table, and levels are forgotten. {@code level}: null where none is told.
+     */
+    public record Part(List<String> operations, boolean whole, List<Line> lines, Level level,
+            List<String> shutOut, List<String> letBack, int mark) { }
+}
--- /dev/null
+++ b/src/main/java/linenring/steward/Books.java
@@ -0,0 +1,367 @@
+package linenring.steward;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.BitSet;
+import java.util.HashMap;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Map;
+import java.util.PriorityQueue;
+import java.util.Set;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import linenring.exchange.Stream;
+import linenring.log.Log;
+import linenring.message.Order;
+import linenring.plan.Orders;
+
+/**
+ * Remembers what is laid, bound, withdrawn and levelled, and what each proxy has been told of it; makes one
+ * message for each proxy concerned of all that was ordered since the last {@link #send}.
+ */
+final class Books implements Orders {
+    /** What a proxy does with a host, as far as is known here. */
+    private static final byte OPEN = 0, SHUT = 1, UNSURE = 2;
+
+    private static final class Table {
+        final TreeMap<Integer, Double> lines = new TreeMap<>(); // weight by host
+        final Order.Level[] levels;                             // by operation; null where none is set
+        final Set<Integer> changed = new TreeSet<>();           // hosts whose lines changed since the last send
+        final BitSet levelled = new BitSet();                   // operations whose level changed since then
+        boolean wiped;
+
+        Table(int operations) {
+            levels = new Order.Level[operations];
+        }
+    }
+
+    private static final class Proxy {
+        final int id;
+        final int[] bound;               // table by operation, or -1 for its standing table
+        final BitSet rebound = new BitSet();
+        final BitSet everShut = new BitSet(); // hosts it was ever told to shut out
+        Stream stream;                   // null while it has none
+        boolean met, unsure;             // unsure: an earlier life of the steward may have shut hosts out there
+        byte[] holds = {};               // by host
+
+        Proxy(int id, int operations) {
+            this.id = id;
+            bound = new int[operations];
+            Arrays.fill(bound, -1);
+        }
+
+        byte holds(int host) {
+            return host < holds.length ? holds[host] : unsure ? UNSURE : OPEN;
+        }
+
+        void setHolds(int host, byte what) {
+            if (host >= holds.length) {
+                int known = holds.length;
+                holds = Arrays.copyOf(holds, host + 16);
+                Arrays.fill(holds, known, holds.length, unsure ? UNSURE : OPEN);
+            }
+            holds[host] = what;
+        }
+    }
+
+    private final List<String> operations;
+    private final Log log;
+    private final Map<String, Integer> hosts = new HashMap<>();
+    private final List<String> words = new ArrayList<>();
+    private final TreeMap<Integer, Table> tables = new TreeMap<>();
+    private final List<Proxy> proxies = new ArrayList<>();
+    private final BitSet out = new BitSet(), outChanged = new BitSet();
+    private final Order.Level[] everywhere; // levels for all proxies, by operation
+    private final PriorityQueue<Double> alarms = new PriorityQueue<>();
+    private final Set<Proxy> concerned = new LinkedHashSet<>(); // in the order in which they came to be
+    private int mark = Order.NO_MARK;
+
+    Books(List<String> operations, int proxies, Log log) {
+        this.operations = operations;
+        this.log = log;
+        everywhere = new Order.Level[operations.size()];
+        for (int id = 0; id < proxies; id++) {
+            this.proxies.add(new Proxy(id, operations.size()));
+        }
+    }
+
+    // ---- hosts and proxies
+
+    /** The index of a host that is listed now; a new one gets the next. */
+    int listed(String word) {
+        return hosts.computeIfAbsent(word, w -> {
+            words.add(w);
+            return words.size() - 1;
+        });
+    }
+
+    /** The index of a host, or -1 if it was never listed. */
+    int host(String word) {
+        return hosts.getOrDefault(word, -1);
+    }
+
+    boolean isCurrent(int proxy, Stream stream) {
+        return proxies.get(proxy).stream == stream;
+    }
+
+    /** The proxy that speaks on this stream, or -1: it is none's, or that of a proxy that has a newer one. */
+    int proxyOf(Stream stream) {
+        return proxies.stream().filter(p -> p.stream == stream).mapToInt(p -> p.id).findFirst().orElse(-1);
+    }
+
+    void joined(int proxy, Stream stream, boolean fresh) {
+        Proxy p = proxies.get(proxy);
+        Stream old = p.stream;
+        left(proxy);
+        if (old != null) {
+            old.close("has a newer stream");
+        }
+        p.stream = stream;
+        p.unsure = p.unsure && !fresh || !p.met && !fresh;
+        p.met = true;
+        p.holds = new byte[0];
+        p.everShut.stream().forEach(h -> p.setHolds(h, UNSURE)); // what was on its way may be lost
+    }
+
+    void left(int proxy) {
+        Proxy p = proxies.get(proxy);
+        p.stream = null;
+        Arrays.fill(p.bound, -1);
+        p.rebound.clear();
+        concerned.remove(p);
+    }
+
+    /** When the next alarm is due; infinity where none is. */
+    double nextAlarm() {
+        return alarms.isEmpty() ? Double.POSITIVE_INFINITY : alarms.peek();
+    }
+
+    void alarmsUpTo(double now) {
+        while (nextAlarm() <= now) {
+            alarms.poll();
+        }
+    }
+
+    // ---- orders
+
+    private Table table(int number) {
+        return tables.computeIfAbsent(number, n -> new Table(operations.size()));
+    }
+
+    private boolean uses(Proxy p, int table) {
+        return p.stream != null && Arrays.stream(p.bound).anyMatch(b -> b == table);
+    }
+
+    private void concernUsers(int table) {
+        proxies.stream().filter(p -> uses(p, table)).forEach(concerned::add);
+    }
+
+    private boolean meant(int mask, int operation) {
+        return mask == 0 || (mask >> operation & 1) != 0;
+    }
+
+    @Override
+    public void line(int table, int host, double weight) {
+        Table t = table(table);
+        if (weight > 0) {
+            t.lines.put(host, weight);
+        } else {
+            t.lines.remove(host);
+        }
+        t.changed.add(host);
+        concernUsers(table);
+    }
+
+    @Override
+    public void wipe(int table) {
+        Table t = table(table);
+        t.lines.clear();
+        Arrays.fill(t.levels, null);
+        t.wiped = true;
+        concernUsers(table);
+    }
+
+    @Override
+    public void withdraw(int host, boolean shut) {
+        out.set(host, shut);
+        outChanged.set(host);
+        for (Proxy p : proxies) { // a standing table may hold any host
+            if (p.stream != null && Arrays.stream(p.bound)
+                    .anyMatch(b -> b == -1 || table(b).lines.containsKey(host))) {
+                concerned.add(p);
+            }
+        }
+    }
+
+    @Override
+    public void bind(int table, int mask, int proxy) {
+        Proxy p = proxies.get(proxy);
+        if (p.stream == null) {
+            return; // it has left
+        }
+        table(table);
+        for (int k = 0; k < p.bound.length; k++) {
+            if (meant(mask, k)) {
+                p.bound[k] = table;
+                p.rebound.set(k);
+            }
+        }
+        concerned.add(p);
+    }
+
+    @Override
+    public void level(int table, int mask, double letIn, FurtherTries tries) {
+        Order.Level level = new Order.Level(letIn, tries.ordinal());
+        for (int k = 0; k < operations.size(); k++) {
+            if (!meant(mask, k)) {
+                continue;
+            }
+            int operation = k;
+            if (table == EVERY_TABLE) {
+                everywhere[k] = level;
+                tables.values().forEach(t -> t.levelled.set(operation));
+            } else {
+                table(table).levels[k] = level;
+                table(table).levelled.set(k);
+            }
+        }
+        if (table == EVERY_TABLE) {
+            proxies.stream().filter(p -> p.stream != null).forEach(concerned::add);
+        } else {
+            concernUsers(table);
+        }
+    }
+
+    @Override
+    public void barrier(int number, boolean everyProxy) {
+        mark = number;
+        if (everyProxy) {
+            proxies.stream().filter(p -> p.stream != null).forEach(concerned::add);
+        }
+    }
+
+    @Override
+    public void probe(int host) {
+        log.warn("decision", "asks for a probe, and there is no way to probe here");
+    }
+
+    @Override
+    public void alarm(double at, long handle) {
+        alarms.add(at);
+    }
+
+    @Override
+    public void askList() {
+        // discovery is watched all the time
+    }
+
+    @Override
+    public void followList() {
+        // discovery is watched all the time
+    }
+
+    @Override
+    public void note(String text) {
+        log.info("decision", text);
+    }
+
+    // ---- messages
+
+    /** Sends what was ordered since the last time: one message for each proxy concerned. */
+    void send() {
+        for (Proxy p : List.copyOf(concerned)) {
+            p.stream.write(message(p));
+        }
+        proxies.forEach(p -> p.rebound.clear());
+        tables.values().forEach(t -> {
+            t.changed.clear();
+            t.levelled.clear();
+            t.wiped = false;
+        });
+        tables.entrySet().removeIf(e -> e.getValue().lines.isEmpty()
+                && Arrays.stream(e.getValue().levels).allMatch(l -> l == null)
+                && proxies.stream().noneMatch(p -> uses(p, e.getKey())));
+        outChanged.clear();
+        concerned.clear();
+        mark = Order.NO_MARK;
+    }
+
+    private Order message(Proxy p) {
+        List<Order.Part> parts = new ArrayList<>();
+        BitSet hostsTold = new BitSet();
+        BitSet open = new BitSet();
+        open.set(0, operations.size());
+        while (!open.isEmpty()) { // the operations by the table that they are on, and whether it is new to them
+            int first = open.nextSetBit(0), number = p.bound[first];
+            Table t = number < 0 ? null : table(number);
+            boolean whole = t != null && (p.rebound.get(first) || t.wiped);
+            BitSet alike = new BitSet();
+            open.stream().filter(k -> p.bound[k] == number
+                    && whole == (t != null && (p.rebound.get(k) || t.wiped))).forEach(alike::set);
+            open.andNot(alike);
+            tableParts(parts, t, whole, alike, hostsTold);
+        }
+        hostsTold.or(outChanged);
+        List<String> shutOut = new ArrayList<>(), letBack = new ArrayList<>();
+        hostsTold.stream().filter(h -> p.holds(h) != (out.get(h) ? SHUT : OPEN)).filter(h -> out.get(h)
+                ? outChanged.get(h) || holdsLine(p, h) : true).forEach(h -> {
+                    (out.get(h) ? shutOut : letBack).add(words.get(h));
+                    p.setHolds(h, out.get(h) ? SHUT : OPEN);
+                    if (out.get(h)) {
+                        p.everShut.set(h);
+                    }
+                });
+        // shutting out goes into the last part, with the mark
+        int last = parts.size() - 1;
+        if (last < 0) {
+            parts.add(new Order.Part(List.of(), false, List.of(), null, shutOut, letBack, mark));
+        } else {
+            Order.Part e = parts.get(last);
+            parts.set(last, new Order.Part(e.operations(), e.whole(), e.lines(), e.level(), shutOut, letBack, mark));
+        }
+        return new Order(parts);
+    }
+
+    private boolean holdsLine(Proxy p, int host) {
+        return Arrays.stream(p.bound).anyMatch(b -> b == -1 || table(b).lines.containsKey(host));
+    }
+
+    private void tableParts(List<Order.Part> parts, Table t, boolean whole, BitSet alike, BitSet hostsTold) {
+        List<Order.Line> lines = new ArrayList<>();
+        for (int h : t == null ? Set.<Integer>of() : whole ? t.lines.keySet() : t.changed) {
+            lines.add(new Order.Line(words.get(h), t.lines.getOrDefault(h, 0.0)));
+            if (t.lines.containsKey(h)) {
+                hostsTold.set(h);
+            }
+        }
+        Map<Order.Level, BitSet> levels = new java.util.LinkedHashMap<>(); // operations by their level
+        alike.stream().filter(k -> whole || t == null ? everywhere[k] != null || t != null && t.levels[k] != null
+                : t.levelled.get(k)).forEach(k -> {
+                    Order.Level level = lower(t == null ? null : t.levels[k], everywhere[k]);
+                    if (level != null) {
+                        levels.computeIfAbsent(level, l -> new BitSet()).set(k);
+                    }
+                });
+        Order.Level forAll = levels.size() == 1 && levels.values().iterator().next().equals(alike)
+                ? levels.keySet().iterator().next() : null;
+        if (whole || !lines.isEmpty() || forAll != null) {
+            parts.add(new Order.Part(names(alike), whole, lines, forAll, List.of(), List.of(), Order.NO_MARK));
+        }
+        if (forAll == null) {
+            levels.forEach((level, mask) -> parts.add(new Order.Part(names(mask), false, List.of(), level,
+                    List.of(), List.of(), Order.NO_MARK)));
+        }
+    }
+
+    /** Beside the table's own level the lower one counts, and the table's way to try again. */
+    private static Order.Level lower(Order.Level own, Order.Level everywhere) {
+        return own == null || everywhere == null ? own == null ? everywhere : own
+                : new Order.Level(Math.min(own.letIn(), everywhere.letIn()), own.tries());
+    }
+
+    private List<String> names(BitSet mask) {
+        return mask.cardinality() == operations.size() ? List.of()
+                : mask.stream().mapToObj(operations::get).toList();
+    }
+}
--- /dev/null
+++ b/src/main/java/linenring/streams/PeerConnection.java
@@ -0,0 +1,249 @@
+package linenring.streams;
+
+import java.nio.ByteBuffer;
+import java.util.ArrayDeque;
+import java.util.Arrays;
+import java.util.concurrent.Executor;
+import linenring.exchange.Stream;
+import linenring.message.Arrival;
+import linenring.message.Codec;
+import linenring.message.Decoded;
+import linenring.message.Order;
+import org.eclipse.jetty.io.AbstractConnection;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.util.IteratingCallback;
+import org.eclipse.jetty.util.thread.Invocable;
+
+/** One connection at the steward's address: cuts what comes into lines and writes what is ordered, in order. */
+final class PeerConnection extends AbstractConnection implements Stream {
+    /** How far it has come. */
+    enum Stage { STRANGER, COLLECTOR, PROXY }
+
+    private static final int READ = 16 * 1024;
+    private static final int LINE_MOST = 1 << 20;            // the protocol's limit
+    private static final int STRANGERS_LINE_MOST = 16 << 10; // a first message has about 100 bytes
+    private static final int UNSENT_MOST = 128 << 10; // what a reader may leave; orders have some 100 bytes each
+
+    private final StreamServer server;
+    private final ByteBuffer read = ByteBuffer.allocate(READ);
+    private byte[] line = new byte[512];
+    private int length;
+    private volatile Stage stage = Stage.STRANGER;
+    private int proxy = -1;
+    private final long openedAt = System.nanoTime();
+    private volatile long heardAt = openedAt, unansweredSince; // 0: no order waits for an answer
+    private volatile int lastMark = -1;
+    private volatile boolean ending;
+
+    private final ArrayDeque<ByteBuffer> unsent = new ArrayDeque<>();
+    private int unsentBytes;
+    private final IteratingCallback flusher = new IteratingCallback() {
+        @Override
+        protected Action process() {
+            ByteBuffer next;
+            synchronized (unsent) {
+                next = unsent.peek();
+            }
+            if (next == null) {
+                return Action.IDLE;
+            }
+            getEndPoint().write(this, next);
+            return Action.SCHEDULED;
+        }
+
+        @Override
+        protected void onSuccess() {
+            synchronized (unsent) {
+                unsentBytes -= unsent.poll().capacity();
+            }
+        }
+
+        @Override
+        protected void onCompleteFailure(Throwable cause) {
+            end("breaks while written to", false);
+        }
+
+        @Override
+        public InvocationType getInvocationType() {
+            return InvocationType.NON_BLOCKING;
+        }
+    };
+
+    PeerConnection(EndPoint endPoint, Executor executor, StreamServer server) {
+        super(endPoint, executor);
+        this.server = server;
+    }
+
+    @Override
+    public Invocable.InvocationType getInvocationType() {
+        return Invocable.InvocationType.NON_BLOCKING; // reading leaves things in the exchange and never waits
+    }
+
+    @Override
+    public void onOpen() {
+        super.onOpen();
+        server.opened(this);
+        fillInterested();
+    }
+
+    @Override
+    public void onFillable() {
+        try {
+            while (true) {
+                read.clear().flip(); // empty, as filling adds at its limit
+                int got = getEndPoint().fill(read);
+                if (got < 0) {
+                    end("ended by its peer", false);
+                    return;
+                }
+                if (got == 0) {
+                    fillInterested();
+                    return;
+                }
+                heardAt = System.nanoTime();
+                if (!take(read.array(), read.arrayOffset() + read.position(), got)) {
+                    return;
+                }
+            }
+        } catch (java.io.IOException e) {
+            end("reset", false);
+        } catch (RuntimeException e) { // no fault in one connection's handling reaches another
+            end("fault: " + e, true);
+        }
+    }
+
+    @Override
+    protected void onFillInterestedFailed(Throwable cause) {
+        end("reset", false);
+    }
+
+    @Override
+    public void onClose(Throwable cause) {
+        super.onClose(cause);
+        end("reset", false);
+        server.closed(this);
+        if (stage == Stage.PROXY) {
+            server.exchange.ended(this);
+        }
+    }
+
+    /** Takes bytes in; false once the connection is done with. */
+    private boolean take(byte[] from, int start, int count) {
+        int most = stage == Stage.STRANGER ? STRANGERS_LINE_MOST : LINE_MOST;
+        for (int at = start, end = start + count; at < end; ) {
+            int lf = at;
+            while (lf < end && from[lf] != '\n') {
+                lf++;
+            }
+            int more = lf - at;
+            if (length + more > most) {
+                return end("sends a line of over " + most + " bytes", true);
+            }
+            if (length + more > line.length) {
+                line = Arrays.copyOf(line, Math.min(most, Math.max(length + more, 2 * line.length)));
+            }
+            System.arraycopy(from, at, line, length, more);
+            length += more;
+            at = lf + 1;
+            if (lf < end) {
+                int whole = length;
+                length = 0;
+                if (whole > 0 && !took(server.codec.arrival(line, whole))) {
+                    return false;
+                }
+                most = stage == Stage.STRANGER ? STRANGERS_LINE_MOST : LINE_MOST;
+            }
+        }
+        return true;
+    }
+
+    private boolean took(Decoded<Arrival> decoded) {
+        if (decoded.value() == null) {
+            return end("sends what can't be read, " + decoded.fault(), true);
+        }
+        Arrival a = decoded.value();
+        if (a instanceof Arrival.Ping) {
+            send(Codec.pong());
+            return !ending;
+        }
+        if (a instanceof Arrival.Joining || a instanceof Arrival.Collector) {
+            if (stage != Stage.STRANGER) {
+                return end("says twice who is there", true);
+            }
+            stage = a instanceof Arrival.Joining ? Stage.PROXY : Stage.COLLECTOR;
+            proxy = a instanceof Arrival.Joining j ? j.proxy() : -1;
+        } else if (stage == Stage.STRANGER) {
+            return end("sends reports or answers before it says who is there", true);
+        }
+        if (a instanceof Arrival.Applied answer) {
+            if (answer.proxy() != proxy) {
+                return end("answers for proxy " + answer.proxy(), true);
+            }
+            unansweredSince = answer.mark() == lastMark ? 0 : heardAt;
+        }
+        if (!(a instanceof Arrival.Collector)) {
+            server.exchange.arrived(this, a);
+        }
+        return true;
+    }
+
+    @Override
+    public void write(Order order) {
+        int mark = order.parts().get(order.parts().size() - 1).mark();
+        if (mark != Order.NO_MARK) {
+            lastMark = mark;
+            unansweredSince = unansweredSince == 0 ? System.nanoTime() : unansweredSince;
+        }
+        send(server.codec.order(order));
+    }
+
+    private void send(byte[] bytes) {
+        boolean full;
+        synchronized (unsent) {
+            full = unsentBytes + bytes.length > UNSENT_MOST;
+            if (!full) {
+                unsent.add(ByteBuffer.wrap(bytes));
+                unsentBytes += bytes.length;
+            }
+        }
+        if (full) {
+            end("reads nothing", true);
+        } else {
+            flusher.iterate();
+        }
+    }
+
+    @Override
+    public void close(String why) {
+        end(why, true);
+    }
+
+    /** Nothing heard since then, and an answer is due; or the time it was opened, for who has not said a word. */
+    boolean silentSince(long strangersBefore, long proxiesBefore) {
+        long since = unansweredSince;
+        return stage == Stage.STRANGER ? heardAt - strangersBefore < 0
+                : since != 0 && since - proxiesBefore < 0 && heardAt - proxiesBefore < 0;
+    }
+
+    boolean isStranger() {
+        return stage == Stage.STRANGER;
+    }
+
+    private boolean end(String why, boolean ours) {
+        synchronized (unsent) {
+            if (ending) {
+                return false;
+            }
+            ending = true;
+        }
+        String who = (stage == Stage.PROXY ? "proxy " + proxy : stage == Stage.COLLECTOR ? "collector" : "stranger")
+                + " from " + getEndPoint().getRemoteSocketAddress();
+        if (ours) {
+            server.log.warn("stream", who + " " + why + ": closed");
+        } else if (stage != Stage.STRANGER) {
+            server.log.info("stream", who + " is gone: " + why);
+        }
+        getEndPoint().close();
+        return false;
+    }
+}
--- /dev/null
+++ b/src/main/java/linenring/streams/StreamServer.java
@@ -0,0 +1,129 @@
+package linenring.streams;
+
+import java.io.IOException;
+import java.net.InetSocketAddress;
+import java.net.StandardSocketOptions;
+import java.nio.channels.SelectableChannel;
+import java.nio.channels.SelectionKey;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.channels.SocketChannel;
+import java.util.LinkedHashSet;
+import java.util.List;
+import java.util.Set;
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import linenring.exchange.Exchange;
+import linenring.log.Log;
+import linenring.message.Codec;
+import org.eclipse.jetty.io.Connection;
+import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.io.ManagedSelector;
+import org.eclipse.jetty.io.SelectorManager;
+import org.eclipse.jetty.io.SocketChannelEndPoint;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/** Listens at the steward's one address and keeps the connections of proxies, collectors and strangers. */
+public final class StreamServer extends SelectorManager {
+    /** How far opening came; the server is null where it failed. */
+    public record Opened(StreamServer server, Reached reached, String fault) {
+        /** The steps of opening. */
+        public enum Reached { STARTED, BOUND, LISTENING }
+    }
+
+    private static final int BACKLOG = 512;
+    private static final int OWN_SOCKETS = 64; // what the process opens besides: files, selectors, discovery
+    private static final long STRANGER_NS = TimeUnit.SECONDS.toNanos(20); // who dials says who it is at once
+    /** Proxies freeze for 2 s at times, and answers take up to some seconds on a slowed channel. */
+    private static final long SILENT_NS = TimeUnit.SECONDS.toNanos(8);
+    private static final long SWEEP_MS = 500;
+
+    final Exchange exchange;
+    final Codec codec;
+    final Log log;
+    private final int most;
+    private final Set<PeerConnection> connections = new LinkedHashSet<>(); // oldest first
+    private final Scheduler clock;
+
+    private StreamServer(Executor executor, Scheduler scheduler, int sockets, Codec codec, Exchange exchange,
+            Log log) {
+        super(executor, scheduler, 1);
+        this.clock = scheduler;
+        this.most = sockets - OWN_SOCKETS;
+        this.codec = codec;
+        this.exchange = exchange;
+        this.log = log;
+    }
+
+    /** Starts to listen; whoever connects is served from then on. */
+    public static Opened open(InetSocketAddress at, int sockets, Codec codec, Exchange exchange, Log log,
+            Executor executor, Scheduler scheduler) {
+        StreamServer server = new StreamServer(executor, scheduler, sockets, codec, exchange, log);
+        Opened.Reached reached = Opened.Reached.STARTED;
+        try {
+            server.start();
+            ServerSocketChannel channel = ServerSocketChannel.open();
+            channel.setOption(StandardSocketOptions.SO_REUSEADDR, true); // at once after a restart
+            channel.bind(at, BACKLOG);
+            reached = Opened.Reached.BOUND;
+            channel.configureBlocking(false);
+            server.acceptor(channel);
+            scheduler.schedule(server::sweep, SWEEP_MS, TimeUnit.MILLISECONDS);
+            return new Opened(server, Opened.Reached.LISTENING, null);
+        } catch (Exception e) { // start() may throw any
+            return new Opened(null, reached, e.getMessage());
+        }
+    }
+
+    @Override
+    protected void accepted(SelectableChannel channel) throws IOException {
+        channel.configureBlocking(false);
+        ((SocketChannel) channel).setOption(StandardSocketOptions.TCP_NODELAY, true);
+        accept(channel);
+    }
+
+    @Override
+    protected EndPoint newEndPoint(SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
+        SocketChannelEndPoint endPoint =
+                new SocketChannelEndPoint((SocketChannel) channel, selector, key, getScheduler());
+        endPoint.setIdleTimeout(0); // silence is judged in sweep()
+        return endPoint;
+    }
+
+    @Override
+    public Connection newConnection(SelectableChannel channel, EndPoint endPoint, Object attachment) {
+        return new PeerConnection(endPoint, getExecutor(), this);
+    }
+
+    void opened(PeerConnection connection) {
+        PeerConnection oldest = null;
+        synchronized (connections) {
+            connections.add(connection);
+            if (connections.size() > most) { // strangers make room for who may be a proxy
+                oldest = connections.stream().filter(PeerConnection::isStranger).findFirst().orElse(connection);
+            }
+        }
+        if (oldest != null) {
+            oldest.close("makes room, " + most + " connections are open");
+        }
+    }
+
+    void closed(PeerConnection connection) {
+        synchronized (connections) {
+            connections.remove(connection);
+        }
+    }
+
+    private void sweep() {
+        List<PeerConnection> all;
+        synchronized (connections) {
+            all = List.copyOf(connections);
+        }
+        long now = System.nanoTime();
+        for (PeerConnection connection : all) {
+            if (connection.silentSince(now - STRANGER_NS, now - SILENT_NS)) {
+                connection.close(connection.isStranger() ? "says nothing" : "answers nothing");
+            }
+        }
+        clock.schedule(this::sweep, SWEEP_MS, TimeUnit.MILLISECONDS);
+    }
+}
--- a/src/main/java/linenring/wirehost/WireHost.java
+++ b/src/main/java/linenring/wirehost/WireHost.java
@@ -12,6 +12,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.TreeMap;
+import linenring.figures.StartReader;
 import linenring.plan.Balance;
 
 /** Hosts instances of the decisions on the simulator's wire: reads a batch, calls them, writes the orders. */
