Discovery's watch is dialled with a request that fits its buffer

Seen: each attempt ended as HEADER_OVERFLOW; the generator takes an empty buffer in flush mode and was handed a cleared one (AgentConnection.onOpen). Log times always have milliseconds.

--- a/src/main/java/linenring/discovery/AgentConnection.java
+++ b/src/main/java/linenring/discovery/AgentConnection.java
@@ -20,12 +20,14 @@
 import org.eclipse.jetty.http.MetaData;
 import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.Callback;
 import org.eclipse.jetty.util.thread.Invocable;
 
 /** One request to discovery's agent: the whole list, or a watch that stays open. */
 final class AgentConnection extends AbstractConnection implements HttpParser.ResponseHandler {
     private static final int READ = 16 * 1024;
+    private static final int REQUEST_MOST = 1024; // ours has under 200
     private static final int BODY_MOST = 8 << 20; // some 60,000 hosts
     private static final long SILENT_MS = 3000;   // a blank line is due every 2 s
 
@@ -33,7 +35,7 @@
     private final String authority, target;
     private final boolean once;
     private final HttpParser parser = new HttpParser(this);
-    private final ByteBuffer read = ByteBuffer.allocate(READ);
+    private final ByteBuffer read = BufferUtil.allocate(READ);
     private byte[] line = new byte[4096];
     private int length, status;
     private Reached reached = Reached.CONNECTED;
@@ -63,11 +65,9 @@
                     HttpVersion.HTTP_1_1, HttpFields.build().add(HttpHeader.HOST, authority)
                     .add(HttpHeader.ACCEPT, "application/json"), 0);
             HttpGenerator generator = new HttpGenerator();
-            ByteBuffer header = ByteBuffer.allocate(1024);
-            header.flip();
+            ByteBuffer header = BufferUtil.allocate(REQUEST_MOST);
             HttpGenerator.Result result = generator.generateRequest(request, null, null, null, true);
             if (result == HttpGenerator.Result.NEED_HEADER) {
-                header.clear();
                 result = generator.generateRequest(request, header, null, null, true);
             }
             if (result != HttpGenerator.Result.FLUSH) {
@@ -86,7 +86,7 @@
     public void onFillable() {
         try {
             while (!ended) {
-                read.clear().flip();
+                BufferUtil.clear(read);
                 int got = getEndPoint().fill(read);
                 if (got == 0) {
                     fillInterested();
--- a/src/main/java/linenring/log/Log.java
+++ b/src/main/java/linenring/log/Log.java
@@ -2,7 +2,8 @@
 
 import java.io.PrintStream;
 import java.time.Instant;
-import java.time.temporal.ChronoUnit;
+import java.time.ZoneOffset;
+import java.time.format.DateTimeFormatter;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -14,6 +15,9 @@
     private static final int MOST = 20;          // enough for each proxy of a fleet to be told of once
     private static final long SPAN_MS = 10_000;  // a page of the log stays readable at 2 lines a second
 
+    private static final DateTimeFormatter TIME =
+            DateTimeFormatter.ofPattern("uuuu-MM-dd'T'HH:mm:ss.SSS'Z'").withZone(ZoneOffset.UTC);
+
     private static final class Told {
         long since;
         int lines;
@@ -50,7 +54,7 @@
         if (t.lines++ >= MOST) {
             return;
         }
-        StringBuilder line = new StringBuilder().append(now.truncatedTo(ChronoUnit.MILLIS)).append(' ')
+        StringBuilder line = new StringBuilder().append(TIME.format(now)).append(' ')
                 .append(level).append(' ').append(subject).append(' ');
         for (int i = 0; i < words.length(); i++) { // one line each, whatever a stranger sent
             char c = words.charAt(i);
--- a/src/main/java/linenring/streams/PeerConnection.java
+++ b/src/main/java/linenring/streams/PeerConnection.java
@@ -11,6 +11,7 @@
 import linenring.message.Order;
 import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.EndPoint;
+import org.eclipse.jetty.util.BufferUtil;
 import org.eclipse.jetty.util.IteratingCallback;
 import org.eclipse.jetty.util.thread.Invocable;
 
@@ -25,7 +26,7 @@
     private static final int UNSENT_MOST = 128 << 10; // what a reader may leave; orders have some 100 bytes each
 
     private final StreamServer server;
-    private final ByteBuffer read = ByteBuffer.allocate(READ);
+    private final ByteBuffer read = BufferUtil.allocate(READ); // empty: filling adds at its limit
     private byte[] line = new byte[512];
     private int length;
     private volatile Stage stage = Stage.STRANGER;
@@ -90,7 +91,7 @@
     public void onFillable() {
         try {
             while (true) {
-                read.clear().flip(); // empty, as filling adds at its limit
+                BufferUtil.clear(read);
                 int got = getEndPoint().fill(read);
                 if (got < 0) {
                     end("ended by its peer", false);
