--- a/src/main/java/linenring/discovery/AgentConnection.java
+++ b/src/main/java/linenring/discovery/AgentConnection.java
@@ -29,7 +29,7 @@
     private static final int READ = 16 * 1024;
     private static final int REQUEST_MOST = 1024; // ours has under 200
     private static final int BODY_MOST = 8 << 20; // some 60,000 hosts
-    private static final long SILENT_MS = 3000;   // a blank line is due every 2 s
+    private static final long SILENT_MS = 2500;   // a blank line is due every 2 s, and half a second is for its way
 
     private final HostWatch watch;
     private final String authority, target;
@@ -61,7 +61,7 @@
     public void onOpen() {
         super.onOpen();
         try {
-            MetaData.Request request = new MetaData.Request("GET", HttpURI.from("http://" + authority + target),
+            MetaData.Request request = new MetaData.Request("GET", HttpURI.from(target),
                     HttpVersion.HTTP_1_1, HttpFields.build().add(HttpHeader.HOST, authority)
                     .add(HttpHeader.ACCEPT, "application/json"), 0);
             HttpGenerator generator = new HttpGenerator();
--- a/src/main/java/linenring/figures/Lookup.java
+++ b/src/main/java/linenring/figures/Lookup.java
@@ -46,6 +46,28 @@
         return value == null ? absent : toNumber(path, value);
     }
 
+    /** A number of 0 or more. */
+    public double amount(String path, double absent) {
+        double value = number(path, absent);
+        if (value < 0) {
+            throw bad(path, ": " + shown(value) + " is under 0");
+        }
+        return value;
+    }
+
+    /** A number of more than 0. */
+    public double positive(String path, double absent) {
+        double value = number(path, absent);
+        if (value <= 0) {
+            throw bad(path, ": " + shown(value) + " is not over 0");
+        }
+        return value;
+    }
+
+    private static String shown(double value) {
+        return value == Math.rint(value) ? Long.toString((long) value) : Double.toString(value);
+    }
+
     public boolean flag(String path) {
         return toFlag(path, text(path));
     }
@@ -60,7 +82,7 @@
     }
 
     public double millis(String path, double absent) {
-        return find(path) == null ? absent : number(path) / 1000.0;
+        return find(path) == null ? absent : amount(path, 0) / 1000.0;
     }
 
     public String[] list(String path) {
--- a/src/main/java/linenring/figures/StartReader.java
+++ b/src/main/java/linenring/figures/StartReader.java
@@ -21,16 +21,16 @@
         List<StartFigures.Operation> operations = new ArrayList<>();
         for (int k = 0; k < count; k++) {
             String at = "Classes." + k + ".";
-            operations.add(new StartFigures.Operation(in.millis(at + "Aim", 1000),
-                    in.number(at + "Points", 1),
+            operations.add(new StartFigures.Operation(in.positive(at + "Aim", 1_000_000) / 1000,
+                    in.amount(at + "Points", 1),
                     mask(in, at + "OnlyZones", zones),
                     mask(in, at + "OnlyKinds", kinds),
                     k < home.length && home[k].equals("true"), zones.length));
         }
         return new StartFigures(operations,
-                new StartFigures.ColdStart(in.number("Contract.ColdFrom", 1), in.millis("Contract.Cold", 0)),
-                new StartFigures.Channel(in.number("Specifics.PushRate", 1e6),
-                        in.number("Specifics.PerMessage", 0), in.number("Specifics.MostWaiting", 1e9),
+                new StartFigures.ColdStart(in.amount("Contract.ColdFrom", 1), in.millis("Contract.Cold", 0)),
+                new StartFigures.Channel(in.positive("Specifics.PushRate", 1e6),
+                        in.amount("Specifics.PerMessage", 0), in.amount("Specifics.MostWaiting", 1e9),
                         in.index("Specifics.UpdateCap", 0), in.millis("Specifics.CountedOver", 10000),
                         in.millis("Specifics.Propagation", 0), in.millis("Specifics.TransitMax", 0),
                         in.millis("Contract.StopSendingWithin", 1000)),
@@ -41,14 +41,20 @@
                 in.flag("Contract.DroppedStayOpen", false), in.index("Specifics.DefaultSize", 0));
     }
 
-    /** The names behind the indices of zones, kinds and operations, and the number of proxies. */
+    /** The names behind the indices, which only a steward on sockets needs: without them it can't start. */
     public static Names names(Lookup in) {
+        in.text("Azs");
+        in.text("Kinds");
         List<String> operations = new ArrayList<>();
-        for (int k = 0; k < in.index("Classes.count"); k++) {
+        for (int k = 0; k < Math.max(1, in.index("Classes.count")); k++) {
             operations.add(in.text("Classes." + k + ".Name"));
         }
-        return new Names(List.of(in.list("Azs")), List.of(in.list("Kinds")), operations,
-                in.index("Specifics.ProxyCount"), in.millis("Quantum", 4));
+        int proxies = in.index("Specifics.ProxyCount");
+        if (proxies < 1 || proxies > 65536) {
+            throw in.bad("Specifics.ProxyCount", ": " + proxies + " is out of range");
+        }
+        return new Names(List.of(in.list("Azs")), List.of(in.list("Kinds")), operations, proxies,
+                in.millis("Quantum", 4));
     }
 
     private static Measure measure(Lookup in) {
--- a/src/main/java/linenring/steward/Books.java
+++ b/src/main/java/linenring/steward/Books.java
@@ -114,7 +114,7 @@
         Proxy p = proxies.get(proxy);
         Stream old = p.stream;
         left(proxy);
-        if (old != null) {
+        if (old != null && old != stream) {
             old.close("has a newer stream");
         }
         p.stream = stream;
--- a/src/main/java/linenring/steward/Clock.java
+++ b/src/main/java/linenring/steward/Clock.java
@@ -8,7 +8,10 @@
     private final double startMs;
 
     Clock() {
-        Instant start = Instant.now();
+        this(Instant.now());
+    }
+
+    Clock(Instant start) {
         startMs = start.getEpochSecond() * 1e3 + start.getNano() / 1e6;
     }
 
--- a/src/main/java/linenring/steward/Steward.java
+++ b/src/main/java/linenring/steward/Steward.java
@@ -15,13 +15,18 @@
     private final Exchange exchange;
     private final Log log;
     private final double quantum;
-    private final Clock clock = new Clock();
+    private final Clock clock;
     private final Books books;
     private final Balance balance;
 
     public Steward(StartFigures figures, Names names, HostList known, Exchange exchange, Log log) {
+        this(figures, names, known, exchange, log, new Clock());
+    }
+
+    Steward(StartFigures figures, Names names, HostList known, Exchange exchange, Log log, Clock clock) {
         this.exchange = exchange;
         this.log = log;
+        this.clock = clock;
         quantum = names.quantum();
         books = new Books(names.operations(), names.proxies(), log);
         balance = new Balance(figures, books);
@@ -95,6 +100,15 @@
         }
     }
 
+    @Override
+    public void silent(Stream which) {
+        int proxy = books.proxyOf(which);
+        if (proxy >= 0) { // what it is written still goes there, in case it listens
+            log.info("proxy", proxy + " is silent and counts as left");
+            decide(() -> balance.lost(proxy));
+        }
+    }
+
     @Override
     public void ended(Stream which) {
         int proxy = books.proxyOf(which);
--- a/src/main/java/linenring/streams/PeerConnection.java
+++ b/src/main/java/linenring/streams/PeerConnection.java
@@ -30,11 +30,12 @@
     private byte[] line = new byte[512];
     private int length;
     private volatile Stage stage = Stage.STRANGER;
-    private int proxy = -1;
-    private final long openedAt = System.nanoTime();
-    private volatile long heardAt = openedAt, unansweredSince; // 0: no order waits for an answer
-    private volatile int lastMark = -1;
+    private Arrival.Joining joining; // what a proxy said first
+    private volatile long heardAt = System.nanoTime();
+    private long unansweredSince; // 0: no order waits for an answer
+    private int lastMark = -1;
     private volatile boolean ending;
+    private boolean silent;
 
     private final ArrayDeque<ByteBuffer> unsent = new ArrayDeque<>();
     private int unsentBytes;
@@ -158,7 +159,7 @@
         return true;
     }
 
-    private boolean took(Decoded<Arrival> decoded) {
+    private synchronized boolean took(Decoded<Arrival> decoded) {
         if (decoded.value() == null) {
             return end("sends what can't be read, " + decoded.fault(), true);
         }
@@ -172,16 +173,20 @@
                 return end("says twice who is there", true);
             }
             stage = a instanceof Arrival.Joining ? Stage.PROXY : Stage.COLLECTOR;
-            proxy = a instanceof Arrival.Joining j ? j.proxy() : -1;
+            joining = a instanceof Arrival.Joining j ? j : null;
         } else if (stage == Stage.STRANGER) {
             return end("sends reports or answers before it says who is there", true);
         }
         if (a instanceof Arrival.Applied answer) {
-            if (answer.proxy() != proxy) {
+            if (joining == null || answer.proxy() != joining.proxy()) {
                 return end("answers for proxy " + answer.proxy(), true);
             }
             unansweredSince = answer.mark() == lastMark ? 0 : heardAt;
         }
+        if (silent) { // it counts as left: it joins again, with what it holds
+            silent = false;
+            server.exchange.arrived(this, new Arrival.Joining(joining.proxy(), joining.zone(), joining.usual(), false));
+        }
         if (!(a instanceof Arrival.Collector)) {
             server.exchange.arrived(this, a);
         }
@@ -191,9 +196,11 @@
     @Override
     public void write(Order order) {
         int mark = order.parts().get(order.parts().size() - 1).mark();
-        if (mark != Order.NO_MARK) {
-            lastMark = mark;
-            unansweredSince = unansweredSince == 0 ? System.nanoTime() : unansweredSince;
+        synchronized (this) {
+            if (mark != Order.NO_MARK) {
+                lastMark = mark;
+                unansweredSince = unansweredSince == 0 ? System.nanoTime() : unansweredSince;
+            }
         }
         send(server.codec.order(order));
     }
@@ -201,6 +208,9 @@
     private void send(byte[] bytes) {
         boolean full;
         synchronized (unsent) {
+            if (ending) {
+                return;
+            }
             full = unsentBytes + bytes.length > UNSENT_MOST;
             if (!full) {
                 unsent.add(ByteBuffer.wrap(bytes));
@@ -219,11 +229,17 @@
         end(why, true);
     }
 
-    /** Nothing heard since then, and an answer is due; or the time it was opened, for who has not said a word. */
-    boolean silentSince(long strangersBefore, long proxiesBefore) {
-        long since = unansweredSince;
-        return stage == Stage.STRANGER ? heardAt - strangersBefore < 0
-                : since != 0 && since - proxiesBefore < 0 && heardAt - proxiesBefore < 0;
+    /** Judges its silence: strangers that have said no word since then, and proxies while an answer is due. */
+    synchronized void judge(long strangersSince, long silentSince, long deadSince) {
+        long due = unansweredSince;
+        if (stage == Stage.STRANGER && heardAt - strangersSince < 0) {
+            end("says nothing", true);
+        } else if (due != 0 && due - deadSince < 0 && heardAt - deadSince < 0) {
+            end("answers nothing", true);
+        } else if (due != 0 && due - silentSince < 0 && heardAt - silentSince < 0 && !silent) {
+            silent = true;
+            server.exchange.silent(this);
+        }
     }
 
     boolean isStranger() {
@@ -237,7 +253,7 @@
             }
             ending = true;
         }
-        String who = (stage == Stage.PROXY ? "proxy " + proxy : stage == Stage.COLLECTOR ? "collector" : "stranger")
+        String who = (stage == Stage.PROXY ? "proxy " + joining.proxy() : stage == Stage.COLLECTOR ? "collector" : "stranger")
                 + " from " + getEndPoint().getRemoteSocketAddress();
         if (ours) {
             server.log.warn("stream", who + " " + why + ": closed");
--- a/src/main/java/linenring/streams/StreamServer.java
+++ b/src/main/java/linenring/streams/StreamServer.java
@@ -33,9 +33,10 @@
     private static final int BACKLOG = 512;
     private static final int OWN_SOCKETS = 64; // what the process opens besides: files, selectors, discovery
     private static final long STRANGER_NS = TimeUnit.SECONDS.toNanos(20); // who dials says who it is at once
-    /** Proxies freeze for 2 s at times, and answers take up to some seconds on a slowed channel. */
-    private static final long SILENT_NS = TimeUnit.SECONDS.toNanos(8);
-    private static final long SWEEP_MS = 500;
+    /** Proxies stand still for 2 s at times; who says nothing for longer while an answer is due counts as left. */
+    private static final long SILENT_NS = TimeUnit.SECONDS.toNanos(3);
+    private static final long DEAD_NS = TimeUnit.SECONDS.toNanos(60); // past any answer: its socket is freed
+    private static final long SWEEP_MS = 250;
 
     final Exchange exchange;
     final Codec codec;
@@ -43,8 +44,10 @@
     private final int most;
     private final Set<PeerConnection> connections = new LinkedHashSet<>(); // oldest first
     private final Scheduler clock;
+    private ServerSocketChannel channel;
+    private long sweptAt = System.nanoTime();
 
-    private StreamServer(Executor executor, Scheduler scheduler, int sockets, Codec codec, Exchange exchange,
+    StreamServer(Executor executor, Scheduler scheduler, int sockets, Codec codec, Exchange exchange,
             Log log) {
         super(executor, scheduler, 1);
         this.clock = scheduler;
@@ -62,6 +65,7 @@
         try {
             server.start();
             ServerSocketChannel channel = ServerSocketChannel.open();
+            server.channel = channel;
             channel.setOption(StandardSocketOptions.SO_REUSEADDR, true); // at once after a restart
             channel.bind(at, BACKLOG);
             reached = Opened.Reached.BOUND;
@@ -70,10 +74,23 @@
             scheduler.schedule(server::sweep, SWEEP_MS, TimeUnit.MILLISECONDS);
             return new Opened(server, Opened.Reached.LISTENING, null);
         } catch (Exception e) { // start() may throw any
+            server.close();
             return new Opened(null, reached, e.getMessage());
         }
     }
 
+    /** Frees the address; the connections end with the selector. */
+    void close() {
+        try {
+            if (channel != null) {
+                channel.close();
+            }
+            stop();
+        } catch (Exception e) { // stop() may throw any
+            log.warn("stream", "does not stop cleanly: " + e.getMessage());
+        }
+    }
+
     @Override
     protected void accepted(SelectableChannel channel) throws IOException {
         channel.configureBlocking(false);
@@ -113,16 +130,20 @@
         }
     }
 
+    InetSocketAddress address() throws IOException {
+        return (InetSocketAddress) channel.getLocalAddress();
+    }
+
     private void sweep() {
         List<PeerConnection> all;
         synchronized (connections) {
             all = List.copyOf(connections);
         }
         long now = System.nanoTime();
-        for (PeerConnection connection : all) {
-            if (connection.silentSince(now - STRANGER_NS, now - SILENT_NS)) {
-                connection.close(connection.isStranger() ? "says nothing" : "answers nothing");
-            }
+        boolean stood = now - sweptAt > TimeUnit.MILLISECONDS.toNanos(2 * SWEEP_MS); // what came is not read yet
+        sweptAt = now;
+        for (PeerConnection connection : stood ? List.<PeerConnection>of() : all) {
+            connection.judge(now - STRANGER_NS, now - SILENT_NS, now - DEAD_NS);
         }
         clock.schedule(this::sweep, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
--- /dev/null
+++ b/src/test/java/linenring/configuration/ConfigurationReaderTest.java
@@ -0,0 +1,85 @@
+package linenring.configuration;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.nio.charset.StandardCharsets;
+import java.util.Map;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class ConfigurationReaderTest {
+    private static final String GOOD = """
+            {"name":"n3","listen":"127.0.0.4:3000","discovery":"127.0.0.1:8500","seed":"8c1f","extra":{"a":[{"b":1}]},
+             "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"peers":["10.3.0.1:7946"],
+             "known":{"version":41,"full":true,"servers":[{"id":"s-1","zone":"b","kind":"m1","state":"Ready"}]},
+             "settings":{"Azs":["a","b"],"Kinds":["m1"],"Quantum":4000,
+              "Classes":[{"Name":"lookup","Aim":750000,"Points":2.0,"OnlyZones":["b"]},{"Name":"order","Aim":1200000,"Points":3}],
+              "Contract":{"Cold":18000000,"ColdFrom":0.18,"StopSendingWithin":2500000},
+              "Specifics":{"ProxyCount":6,"PushRate":1200.0,"MostWaiting":1800.0,"UpdateCap":30,"HomeOnly":[false,true],
+               "ThrottleBy":"fraction"}}}""";
+
+    private static Configuration.Outcome read(String text) {
+        return ConfigurationReader.read(Map.of(), text.getBytes(StandardCharsets.UTF_8));
+    }
+
+    @Test
+    void nestedSettingsBecomeTheSameFiguresInMilliseconds() {
+        Configuration c = read(GOOD).configuration();
+        assertEquals(750, c.figures().operations().get(0).objective());
+        assertEquals(2, c.figures().operations().get(0).zones()); // the second zone alone
+        assertEquals(-1, c.figures().operations().get(1).zones());
+        assertTrue(c.figures().operations().get(1).homeZoneOnly());
+        assertEquals(18_000, c.figures().cold().warmAfter());
+        assertEquals(2500, c.figures().channel().grace());
+        assertEquals(4, c.names().quantum());
+        assertEquals(1, c.known().entries().get(0).zone());
+        assertEquals("/127.0.0.4:3000", c.listen().toString());
+    }
+
+    @Test
+    void theEnvironmentGoesBeforeTheFile() {
+        Configuration c = ConfigurationReader.read(Map.of("GW_LISTEN", "127.0.0.9:4000"),
+                GOOD.getBytes(StandardCharsets.UTF_8)).configuration();
+        assertEquals(4000, c.listen().getPort());
+        assertEquals(8500, c.discovery().getPort());
+        assertTrue(ConfigurationReader.read(Map.of("GW_LISTEN", "here"), GOOD.getBytes(StandardCharsets.UTF_8)).fault()
+                .startsWith("GW_LISTEN:"));
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "\"listen\":\"127.0.0.4:3000\"  | \"x\":1 | listen is missing",
+        "127.0.0.4:3000 | 127.0.0.4:70000 | listen: '127.0.0.4:70000' is no ADDRESS:PORT",
+        "127.0.0.4:3000 | example.org:80 | listen: 'example.org:80' is no ADDRESS:PORT",
+        "\"sockets\":1024 | \"sockets\":\"many\" | limits.sockets: 'many' is not a whole number",
+        "\"sockets\":1024 | \"sockets\":10 | limits.sockets: 10 is under 128",
+        "\"settings\" | \"set\" | settings is missing",
+        "\"Name\":\"order\" | \"N\":1 | settings.Classes.1.Name is missing",
+        "\"Aim\":750000 | \"Aim\":\"soon\" | settings.Classes.0.Aim: 'soon' is not a number",
+        "\"Aim\":750000 | \"Aim\":0 | settings.Classes.0.Aim: 0 is not over 0",
+        "\"PushRate\":1200.0 | \"PushRate\":-1 | settings.Specifics.PushRate: -1 is not over 0",
+        "\"MostWaiting\":1800.0 | \"MostWaiting\":-5 | settings.Specifics.MostWaiting: -5 is under 0",
+        "\"ProxyCount\":6 | \"ProxyCount\":0 | settings.Specifics.ProxyCount: 0 is out of range",
+        "\"Azs\":[\"a\",\"b\"] | \"Azs\":[] | settings.Azs is missing",
+        "\"zone\":\"b\" | \"zone\":\"q\" | known: field zone: unknown 'q'"})
+    void aFaultNamesTheKey(String good, String bad, String fault) {
+        assertTrue(GOOD.contains(good));
+        assertEquals(fault, read(GOOD.replace(good, bad)).fault());
+    }
+
+    @Test
+    void aFileThatIsMissingOrNoJsonIsToldInOneLine() {
+        assertEquals("GW_CONFIG is missing", ConfigurationReader.read(Map.of()).fault());
+        assertEquals("GW_CONFIG: cannot read /nowhere/at/all",
+                ConfigurationReader.read(Map.of("GW_CONFIG", "/nowhere/at/all")).fault());
+        assertEquals("GW_CONFIG: the file is not JSON", read("{\"name\":").fault());
+        assertEquals("GW_CONFIG: the file holds no JSON object", read("[]").fault());
+    }
+
+    @Test
+    void withoutAKnownListNoneIsHeld() {
+        assertEquals(null, read(GOOD.replace("\"known\"", "\"unknown\"")).configuration().known());
+    }
+}
--- /dev/null
+++ b/src/test/java/linenring/discovery/HostWatchTest.java
@@ -0,0 +1,195 @@
+package linenring.discovery;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.BufferedReader;
+import java.io.ByteArrayOutputStream;
+import java.io.InputStreamReader;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.ServerSocket;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.TimeoutException;
+import linenring.exchange.Exchange;
+import linenring.exchange.Stream;
+import linenring.figures.Names;
+import linenring.log.Log;
+import linenring.message.Arrival;
+import linenring.message.Codec;
+import linenring.message.HostList;
+import org.eclipse.jetty.io.ByteArrayEndPoint;
+import org.eclipse.jetty.util.component.AbstractLifeCycle;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import org.eclipse.jetty.util.thread.Scheduler;
+import org.junit.jupiter.api.Test;
+
+class HostWatchTest {
+    private static final String OK = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+
+    /** Notes what is put off and does none of it. */
+    private static final class Waits extends AbstractLifeCycle implements Scheduler {
+        final List<Long> ms = new ArrayList<>();
+
+        @Override
+        public Task schedule(Runnable task, long delay, TimeUnit unit) {
+            ms.add(unit.toMillis(delay));
+            return () -> true;
+        }
+    }
+
+    private static final class Agent extends ByteArrayEndPoint {
+        final AgentConnection connection;
+
+        Agent(HostWatch watch, String target, boolean once) {
+            super(new Waits(), 0);
+            setGrowOutput(true);
+            connection = new AgentConnection(this, Runnable::run, watch, "127.0.0.1:8500", target, once);
+            setConnection(connection);
+            connection.onOpen();
+        }
+
+        @Override
+        protected void execute(Runnable task) {
+            task.run();
+        }
+    }
+
+    private final Exchange exchange = new Exchange();
+    private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
+    private final Log log = new Log(new PrintStream(logged, true));
+    private final Codec codec = new Codec(new Names(List.of("a"), List.of("m1"), List.of("lookup"), 9, 4));
+    private final Waits waits = new Waits();
+
+    private HostWatch watch(long version) {
+        HostList known = version < 0 ? null : new HostList(version, true, List.of());
+        return new HostWatch(new InetSocketAddress("127.0.0.1", 8500), known, codec, exchange, log, Runnable::run, waits);
+    }
+
+    private static String list(long version, boolean whole, String state) {
+        return "{\"version\":" + version + ",\"full\":" + whole + ",\"servers\":[{\"id\":\"s-1\",\"zone\":\"a\",\"kind\":\"m1\","
+                + "\"state\":\"" + state + "\"}]}\n";
+    }
+
+    private static String chunk(String text) {
+        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
+    }
+
+    private List<Long> versions() {
+        List<Long> versions = new ArrayList<>();
+        exchange.drain(new Exchange.Taker() {
+            @Override
+            public void arrived(Stream from, Arrival what) {
+                throw new AssertionError();
+            }
+
+            @Override
+            public void silent(Stream which) {
+                throw new AssertionError();
+            }
+
+            @Override
+            public void ended(Stream which) {
+                throw new AssertionError();
+            }
+
+            @Override
+            public void listed(HostList list) {
+                versions.add(list.version());
+            }
+        });
+        return versions;
+    }
+
+    @Test
+    void aWatchAsksFromItsVersionAndTakesLinesHoweverTheyAreCut() {
+        Agent agent = new Agent(watch(41), "/catalog/members?watch=1&from=41", false);
+        assertTrue(agent.takeOutputString().startsWith("GET /catalog/members?watch=1&from=41 HTTP/1.1\r\nHost: 127.0.0.1:8500\r\n"));
+        String two = list(42, false, "Ready") + "\n" + list(43, false, "Terminating");
+        String answer = OK + chunk("\n") + chunk(two.substring(0, 30)) + chunk(two.substring(30)) + chunk("\r\n");
+        for (char c : answer.toCharArray()) {
+            agent.addInput("" + c);
+        }
+        assertEquals(List.of(42L, 43L), versions());
+        assertTrue(agent.isOpen() && waits.ms.isEmpty());
+    }
+
+    @Test
+    void aWholeListWhereChangesWereDueIsTakenAndAnOldChangeIsNot() {
+        HostWatch watch = watch(41);
+        Agent agent = new Agent(watch, "/", false);
+        agent.addInput(OK + chunk(list(30, true, "Ready")) + chunk(list(30, false, "Gone")) + chunk(list(31, false, "Gone")));
+        assertEquals(List.of(30L, 31L), versions());
+    }
+
+    @Test
+    void silencePastABlankLineEndsTheAttemptAndItIsDialledAgain() {
+        Agent agent = new Agent(watch(41), "/", false);
+        agent.addInput(OK + chunk(list(42, false, "Ready")));
+        assertFalse(agent.connection.onIdleExpired(new TimeoutException()));
+        assertFalse(agent.isOpen());
+        assertEquals(List.of(20L), waits.ms);
+        assertTrue(logged.toString().contains("had told and ended: nothing came for") && logged.toString().contains("from version 42"));
+    }
+
+    @Test
+    void whateverEndsAnAttemptSaysHowFarItHadComeAndTheWaitGrowsToItsCap() {
+        HostWatch watch = watch(41);
+        for (String answer : List.of("", "HTTP/1.1 503 Busy\r\nContent-Length: 0\r\n\r\n", "SSH-2.0-x\r\n\r\n", OK + chunk("{\"version\":\n"),
+                OK + chunk("{\"version\":42,\"full\":false}\n"), OK + "0\r\n\r\n", OK + "zz\r\n")) {
+            Agent agent = new Agent(watch, "/", false);
+            agent.addInput(answer);
+            agent.addInputEOF();
+            assertFalse(agent.isOpen(), answer);
+        }
+        assertEquals(List.of(20L, 40L, 80L, 160L, 320L, 500L, 500L), waits.ms);
+        assertEquals(List.of(), versions()); // the list stands
+        List<String> lines = logged.toString().lines().toList();
+        assertTrue(lines.get(0).contains("had asked and ended: ended by its peer"), lines.get(0));
+        assertTrue(lines.get(1).contains("had answered and ended: status 503"), lines.get(1));
+        assertTrue(lines.get(2).contains("had asked and ended: no HTTP answer"), lines.get(2));
+        assertTrue(lines.get(3).contains("can't be read, text: not JSON"), lines.get(3));
+        assertTrue(lines.get(4).contains("can't be read, fields: field servers is missing"), lines.get(4));
+    }
+
+    @Test
+    void withNoListItAsksForTheWholeThenWatchesAndAfterABreakGoesOnFromThere() throws Exception {
+        QueuedThreadPool threads = new QueuedThreadPool(8, 2);
+        ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler();
+        threads.start();
+        scheduler.start();
+        try (ServerSocket agent = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
+            agent.setSoTimeout(20_000);
+            HostWatch watch = new HostWatch(new InetSocketAddress(agent.getInetAddress(), agent.getLocalPort()), null, codec,
+                    exchange, log, threads, scheduler);
+            watch.open();
+            String body = list(7, true, "Ready");
+            answer(agent, "GET /catalog/members HTTP/1.1", "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+            answer(agent, "GET /catalog/members?watch=1&from=7 HTTP/1.1", OK + chunk(list(9, false, "Gone")));
+            answer(agent, "GET /catalog/members?watch=1&from=9 HTTP/1.1", OK);
+            assertEquals(List.of(7L, 9L), versions());
+            watch.stop();
+        } finally {
+            threads.stop();
+            scheduler.stop();
+        }
+    }
+
+    private static void answer(ServerSocket agent, String request, String answer) throws Exception {
+        try (Socket socket = agent.accept()) {
+            BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+            assertEquals(request, in.readLine());
+            while (!in.readLine().isEmpty()) {
+                // headers
+            }
+            socket.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/linenring/message/CodecTest.java
@@ -0,0 +1,94 @@
+package linenring.message;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNull;
+
+import java.nio.charset.StandardCharsets;
+import java.util.List;
+import linenring.figures.Names;
+import linenring.message.Unreadable.Reached;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+class CodecTest {
+    private final Codec codec =
+            new Codec(new Names(List.of("a", "b"), List.of("m1", "m2"), List.of("lookup", "order"), 20, 4));
+
+    private Decoded<Arrival> arrival(String line) {
+        byte[] bytes = (line + "left over").getBytes(StandardCharsets.UTF_8);
+        return codec.arrival(bytes, line.length());
+    }
+
+    private HostList list(String line) {
+        return codec.hostList(line.getBytes(StandardCharsets.UTF_8), line.length()).value();
+    }
+
+    @Test
+    void eachKindIsReadAndUnknownFieldsArePassedOver() {
+        assertEquals(new Arrival.Ping(), arrival("{\"@type\":\"PING\"}").value());
+        assertEquals(new Arrival.Collector(1), arrival("{\"site\":\"b\",\"x\":{\"y\":[1]},\"@type\":\"SOURCE\"}").value());
+        assertEquals(new Arrival.Joining(17, 0, 21.5, true),
+                arrival("{\"@type\":\"SUBSCRIBE\",\"id\":17,\"site\":\"a\",\"rps\":21.5,\"new\":true}").value());
+        assertEquals(new Arrival.Applied(17, 905, 310.4),
+                arrival("{\"@type\":\"ACK\",\"id\":17,\"seq\":905,\"ms\":310.4}").value());
+        assertEquals(new Arrival.Usage(17, 1, 19, 1000),
+                arrival("{\"@type\":\"RATE\",\"id\":17,\"lane\":\"order\",\"count\":19,\"fail\":0,\"over\":1000.0}").value());
+        assertEquals(new Arrival.HostSums("s-1", 0, 212, 3, 41.7), arrival("{\"@type\":\"LOAD\",\"site\":\"a\","
+                + "\"target\":\"s-1\",\"count\":212,\"fail\":3,\"mean\":41.7,\"over\":1000.0,\"util\":{\"util\":0.6}}").value());
+    }
+
+    @ParameterizedTest
+    @CsvSource(delimiter = '|', value = {
+        "GET / HTTP/1.1 | TEXT | not JSON",
+        "[1] | TEXT | not a JSON object",
+        "{\"@type\":\"PING\"} {} | TEXT | more than one JSON object on a line",
+        "{\"site\":\"a\"} | KIND | field @type is missing",
+        "{\"@type\":\"HELLO\"} | KIND | unknown @type 'HELLO'",
+        "{\"@type\":7} | FIELDS | field @type is not text",
+        "{\"@type\":\"SOURCE\",\"site\":\"z\"} | FIELDS | field site: unknown 'z'",
+        "{\"@type\":\"SUBSCRIBE\",\"id\":20,\"site\":\"a\"} | FIELDS | field id: 20.0 is not a whole number from 0 to 19",
+        "{\"@type\":\"SUBSCRIBE\",\"site\":\"a\"} | FIELDS | field id is missing",
+        "{\"@type\":\"ACK\",\"id\":1,\"seq\":1.5} | FIELDS | field seq: 1.5 is not a whole number from 0 to 65535",
+        "{\"@type\":\"RATE\",\"id\":1,\"lane\":\"x\",\"count\":1,\"over\":1} | FIELDS | field lane: unknown 'x'",
+        "{\"@type\":\"RATE\",\"id\":1,\"lane\":\"order\",\"count\":1,\"over\":-1} | FIELDS | field over: -1.0 is out of range",
+        "{\"@type\":\"LOAD\",\"site\":\"a\",\"target\":\"s\",\"count\":2,\"fail\":3} | FIELDS "
+            + "| field fail: 3.0 is not a whole number from 0 to 2",
+        "{\"@type\":\"LOAD\",\"site\":\"a\",\"target\":\"s\",\"count\":\"2\"} | FIELDS | field count is not a number"})
+    void whatCannotBeReadTellsHowFarReadingCame(String line, Reached reached, String what) {
+        Decoded<Arrival> decoded = arrival(line);
+        assertNull(decoded.value());
+        assertEquals(new Unreadable(reached, what), decoded.fault());
+    }
+
+    @Test
+    void aListHasIndicesForNamesAndLongAgoForNoStart() {
+        HostList list = list("{\"version\":43,\"full\":false,\"servers\":[{\"id\":\"s-1\",\"addr\":\"10.0.0.1:1\",\"zone\":\"b\","
+                + "\"kind\":\"m2\",\"cell\":3,\"state\":\"Ready\",\"weight\":1.5,\"started_ms\":0},"
+                + "{\"id\":\"s-2\",\"zone\":\"a\",\"kind\":\"m1\",\"state\":\"Terminating\",\"started_ms\":1700000000123}]}");
+        assertEquals(new HostList(43, false, List.of(
+                new HostList.Entry("s-1", 1, 1, HostList.State.READY, 1.5, Double.NEGATIVE_INFINITY),
+                new HostList.Entry("s-2", 0, 0, HostList.State.TERMINATING, 1, 1700000000123.0))), list);
+        assertNull(list("{\"version\":43,\"full\":false,\"servers\":[{\"id\":\"s-1\",\"zone\":\"z\",\"kind\":\"m2\",\"state\":\"Ready\"}]}"));
+        assertNull(list("{\"version\":43,\"full\":false}"));
+        assertNull(list("{\"version\":43,\"full\":fal"));
+    }
+
+    @Test
+    void theTextOfALongStrangersWordIsNotRepeatedInFull() {
+        String fault = arrival("{\"@type\":\"" + "x".repeat(5000) + "\"}").fault().what();
+        assertEquals(true, fault.length() < 100);
+    }
+
+    @Test
+    void thePartsOfOneOrderStandOnLinesOfTheirOwnAndAllButTheLastAreContinued() {
+        String written = new String(codec.order(new Order(List.of(
+                new Order.Part(List.of("lookup"), true, List.of(new Order.Line("s-1", 1.5), new Order.Line("s-2", 0.12344)),
+                        new Order.Level(0.9, 1), List.of(), List.of(), Order.NO_MARK),
+                new Order.Part(List.of(), false, List.of(), null, List.of("s-3"), List.of("s-4"), 905)))),
+                StandardCharsets.UTF_8);
+        assertEquals("{\"@type\":\"CONFIG\",\"routes\":[\"lookup\"],\"full\":true,\"endpoints\":[[\"s-1\",1.5],[\"s-2\",0.1234]],"
+                + "\"admit\":0.9,\"policy\":1,\"continued\":true}\n"
+                + "{\"@type\":\"CONFIG\",\"eject\":[\"s-3\"],\"restore\":[\"s-4\"],\"nonce_out\":905}\n", written);
+    }
+}
--- /dev/null
+++ b/src/test/java/linenring/steward/StewardTest.java
@@ -0,0 +1,290 @@
+package linenring.steward;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayInputStream;
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.nio.charset.StandardCharsets;
+import java.time.Instant;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.TreeMap;
+import java.util.TreeSet;
+import linenring.exchange.Exchange;
+import linenring.exchange.Stream;
+import linenring.figures.Lookup;
+import linenring.figures.StartReader;
+import linenring.log.Log;
+import linenring.message.Arrival;
+import linenring.message.HostList;
+import linenring.message.HostList.State;
+import linenring.message.Order;
+import linenring.wirehost.WireHost;
+import org.junit.jupiter.api.Test;
+
+class StewardTest {
+    private static final String START = "Azs=a,b Classes.count=2 Classes.0.Aim=750000 Classes.0.Name=lookup Classes.0.Points=2.0"
+            + " Classes.1.Aim=1200000 Classes.1.Name=order Classes.1.Points=3.0 Contract.Cold=18000000 Contract.ColdFrom=0.18"
+            + " Contract.StopSendingWithin=2500000 Discovery=pushed Kinds=m1 Quantum=4000 Specifics.CountedOver=10000000"
+            + " Specifics.DefaultSize=6 Specifics.MostWaiting=1800.0 Specifics.PerMessage=4.0 Specifics.Propagation=103000"
+            + " Specifics.ProxyCount=2 Specifics.PushRate=1200.0 Specifics.ThrottleBy=fraction Specifics.TransitMax=257500"
+            + " Specifics.UpdateCap=30";
+    private static final double T0 = 1_700_000_000_000.0;
+
+    /** What one proxy makes of its orders: the same for both ways of telling it. */
+    private static final class Seen implements Stream {
+        final TreeMap<String, TreeMap<String, Double>> lines = new TreeMap<>(); // by operation
+        final TreeMap<String, Order.Level> levels = new TreeMap<>();
+        final TreeSet<String> out = new TreeSet<>();
+        final List<Integer> marks = new ArrayList<>();
+        String closed;
+
+        @Override
+        public void write(Order order) {
+            for (Order.Part part : order.parts()) {
+                for (String op : part.operations().isEmpty() ? List.of("lookup", "order") : part.operations()) {
+                    TreeMap<String, Double> table = lines.computeIfAbsent(op, o -> new TreeMap<>());
+                    if (part.whole()) {
+                        table.clear();
+                        levels.remove(op);
+                    }
+                    part.lines().forEach(l -> table.put(l.host(), rounded(l.weight())));
+                    table.values().removeIf(w -> w == 0);
+                    if (part.level() != null) {
+                        levels.put(op, new Order.Level(rounded(part.level().letIn()), part.level().tries()));
+                    }
+                }
+                out.addAll(part.shutOut());
+                out.removeAll(part.letBack());
+                if (part.mark() != Order.NO_MARK) {
+                    marks.add(part.mark());
+                }
+            }
+        }
+
+        private static double rounded(double figure) {
+            return Math.round(figure * 1e4) / 1e4;
+        }
+
+        @Override
+        public void close(String why) {
+            closed = why;
+        }
+
+        @Override
+        public String toString() {
+            TreeSet<String> shut = new TreeSet<>(out); // what no table holds makes no difference
+            shut.removeIf(h -> lines.values().stream().noneMatch(t -> t.containsKey(h)));
+            return lines + " " + levels + " out " + shut + " marks " + marks;
+        }
+    }
+
+    /** Carries a reply of the simulator's wire out, as its page words it. */
+    private static final class WireFleet {
+        final Map<String, TreeMap<String, Double>> tables = new HashMap<>();
+        final Map<String, TreeMap<String, Order.Level>> levels = new HashMap<>();
+        final Map<Integer, String> bound = new TreeMap<>();
+        final TreeSet<String> out = new TreeSet<>();
+
+        private static String field(String line, String name) {
+            for (String pair : line.split(" ")) {
+                if (pair.startsWith(name + "=")) {
+                    return pair.substring(name.length() + 1);
+                }
+            }
+            return null;
+        }
+
+        void take(String line) {
+            String table = field(line, "Sheet"), host = field(line, "Host");
+            if (line.startsWith("set_line")) {
+                double weight = Double.parseDouble(field(line, "Heft"));
+                TreeMap<String, Double> lines = tables.computeIfAbsent(table, t -> new TreeMap<>());
+                lines.put(host, weight);
+                lines.values().removeIf(w -> w == 0);
+            } else if (line.startsWith("cordon")) {
+                if (field(line, "Flag").equals("1")) {
+                    out.add(host);
+                } else {
+                    out.remove(host);
+                }
+            } else if (line.startsWith("subscribe_to")) {
+                assertEquals("0", field(line, "Mask"));
+                bound.put(Integer.parseInt(field(line, "Sidecar")), table);
+            } else if (line.startsWith("level")) {
+                String op = field(line, "Mask").equals("1") ? "lookup" : "order";
+                levels.computeIfAbsent(table, t -> new TreeMap<>()).put(op, new Order.Level(
+                        Double.parseDouble(field(line, "Level")), Integer.parseInt(field(line, "OnFailure"))));
+            }
+        }
+
+        String seen(int proxy) {
+            String table = bound.get(proxy);
+            TreeMap<String, TreeMap<String, Double>> lines = new TreeMap<>();
+            TreeMap<String, Order.Level> level = new TreeMap<>();
+            if (table != null) {
+                lines.put("lookup", tables.get(table));
+                lines.put("order", tables.get(table));
+                level.putAll(levels.getOrDefault(table, new TreeMap<>()));
+            }
+            TreeSet<String> shut = new TreeSet<>(out);
+            shut.removeIf(h -> lines.values().stream().noneMatch(t -> t.containsKey(h)));
+            return lines + " " + level + " out " + shut;
+        }
+    }
+
+    private static final Lookup FIGURES = new Lookup() {
+        @Override
+        public String find(String path) {
+            for (String pair : START.split(" ")) {
+                if (pair.startsWith(path + "=")) {
+                    return pair.substring(path.length() + 1);
+                }
+            }
+            return null;
+        }
+
+        @Override
+        protected RuntimeException bad(String path, String what) {
+            return new IllegalArgumentException(path + what);
+        }
+    };
+
+    private final Exchange exchange = new Exchange();
+    private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
+    private final Seen[] proxies = {new Seen(), new Seen()};
+    private final StringBuilder wire = new StringBuilder();
+    private final List<String> socketsSaw = new ArrayList<>();
+    private Steward steward;
+    private int version = 1;
+
+    private Steward start(Log log) {
+        return new Steward(StartReader.read(FIGURES), StartReader.names(FIGURES), null, exchange, log,
+                new Clock(Instant.ofEpochMilli((long) T0)));
+    }
+
+    private static HostList.Entry entry(int host, State state, double started) {
+        return new HostList.Entry("s-" + host, host % 2, 0, state, 1, started);
+    }
+
+    /** Tells both ways the same, at the same time. */
+    private void at(double ms, String events, Runnable sockets) {
+        wire.append("batch Now=").append(Math.round((T0 + ms) * 1000)).append('\n').append(events).append("eob\n");
+        sockets.run();
+        steward.round(T0 + ms);
+        socketsSaw.add(proxies[0] + "\n" + proxies[1]);
+    }
+
+    private String list(String scope, List<HostList.Entry> entries) {
+        StringBuilder text = new StringBuilder("catalog Bank=0 Items=" + entries.size() + "\n");
+        for (HostList.Entry e : entries) {
+            text.append("entry Host=").append(e.host()).append(" Dc=").append(e.zone()).append(" Model=0 Heft=1 Mode=")
+                    .append(e.state() == State.READY ? "Running" : e.state() == State.GONE ? "Deleted" : "Stopping")
+                    .append(e.startedMs() > 0 ? " StartTime=" + Math.round(e.startedMs() * 1000) : "").append('\n');
+        }
+        return text + "registry StewardId=0 Bank=0 Rev=" + version++ + " Scope=" + scope + "\n";
+    }
+
+    private void listed(double ms, boolean whole, HostList.Entry... entries) {
+        String text = list(whole ? "whole" : "patch", List.of(entries));
+        at(ms, text, () -> exchange.listed(new HostList(version, whole, List.of(entries))));
+    }
+
+    @Test
+    void oneStoryOnBothWiresLeavesTheProxiesWithTheSame() throws IOException {
+        steward = start(new Log(new PrintStream(logged)));
+        wire.append("batch Now=").append(Math.round(T0 * 1000)).append("\nprovision StewardId=0 Entropy=7 ").append(START)
+                .append("\neob\n");
+        socketsSaw.add(proxies[0] + "\n" + proxies[1]);
+        listed(10, true, entry(0, State.READY, Double.NEGATIVE_INFINITY), entry(1, State.READY, Double.NEGATIVE_INFINITY),
+                entry(2, State.READY, Double.NEGATIVE_INFINITY), entry(3, State.READY, Double.NEGATIVE_INFINITY));
+        for (int p = 0; p < 2; p++) {
+            int proxy = p;
+            at(20 + p, "joined StewardId=0 Sidecar=" + p + " Flag=1 Dc=" + p + " Heft=6.5\n", () ->
+                    exchange.arrived(proxies[proxy], new Arrival.Joining(proxy, proxy, 6.5, true)));
+        }
+        for (double ms = 150; ms < 16_000; ms += 100) {
+            List<String> events = new ArrayList<>(List.of("elapsed StewardId=0 Handle=1\n"));
+            List<Runnable> calls = new ArrayList<>();
+            for (int p = 0; p < 2; p++) {
+                int proxy = p, mark = proxies[p].marks.isEmpty() ? -1 : proxies[p].marks.get(proxies[p].marks.size() - 1);
+                if (mark >= 0) {
+                    events.add("in_force StewardId=0 Sidecar=" + p + " Rev=" + mark + " Rtt=130000\n");
+                    calls.add(() -> exchange.arrived(proxies[proxy], new Arrival.Applied(proxy, mark, 130)));
+                }
+                events.add("traffic StewardId=0 Sidecar=" + p + " Qos=0 Total=40 Bad=0 Elapsed=100000\n");
+                calls.add(() -> exchange.arrived(proxies[proxy], new Arrival.Usage(proxy, 0, 40, 100)));
+            }
+            for (int h = 0; h < 4; h++) { // one host fails, later all are late, so that levels fall
+                int host = h, bad = h == 1 && ms > 5000 && ms < 8000 ? 4 : 0;
+                double mean = ms > 10_000 ? 900 : 100;
+                events.add("tally StewardId=0 Host=s-" + h + " Dc=0 Total=5 Bad=" + bad + " Rtt=" + Math.round(mean * 1000) + "\n");
+                calls.add(() -> exchange.arrived(proxies[0], new Arrival.HostSums("s-" + host, 0, 5, bad, mean)));
+            }
+            at(ms, String.join("", events), () -> calls.forEach(Runnable::run));
+            if (ms == 3050) {
+                listed(ms + 50, false, entry(0, State.TERMINATING, Double.NEGATIVE_INFINITY),
+                        entry(4, State.READY, T0 + 2500));
+            }
+            if (ms == 4050) {
+                listed(ms + 50, false, entry(0, State.GONE, Double.NEGATIVE_INFINITY));
+            }
+        }
+        ByteArrayOutputStream out = new ByteArrayOutputStream();
+        WireHost.run(new ByteArrayInputStream(wire.toString().getBytes(StandardCharsets.UTF_8)), new PrintStream(out), System.err);
+        WireFleet fleet = new WireFleet();
+        int batch = 0;
+        for (String line : out.toString(StandardCharsets.UTF_8).split("\n")) {
+            if (line.equals("next")) {
+                String saw = socketsSaw.get(batch++).replaceAll(" marks .*", "");
+                assertEquals(fleet.seen(0) + "\n" + fleet.seen(1), saw, "after input " + batch);
+            } else {
+                fleet.take(line);
+            }
+        }
+        assertEquals(socketsSaw.size(), batch);
+        assertTrue(fleet.levels.toString().contains("letIn=0.")); // the story did lower levels
+        assertFalse(logged.toString().matches("(?s).*(WARN|ERROR).*"), logged.toString());
+    }
+
+    @Test
+    void aLateEndOfAnOldStreamAndItsAnswersAreNotTheProxys() {
+        steward = start(new Log(new PrintStream(logged)));
+        steward.listed(new HostList(1, true, List.of(entry(0, State.READY, Double.NEGATIVE_INFINITY))));
+        Seen old = proxies[0], fresh = proxies[1];
+        exchange.arrived(old, new Arrival.Joining(0, 0, 1, true));
+        steward.round(T0 + 10);
+        assertEquals(1, old.marks.size());
+        exchange.arrived(fresh, new Arrival.Joining(0, 0, 1, false));
+        exchange.ended(old);
+        steward.round(T0 + 20);
+        assertTrue(old.closed != null);
+        assertEquals(1, fresh.marks.size()); // bound anew on its new stream
+        exchange.listed(new HostList(2, false, List.of(entry(1, State.READY, Double.NEGATIVE_INFINITY))));
+        for (int i = 3; i < 40; i++) {
+            steward.round(T0 + 100 * i);
+        }
+        assertTrue(fresh.lines.get("order").containsKey("s-1")); // and told of changes still
+        assertFalse(old.lines.get("order").containsKey("s-1"));
+    }
+
+    @Test
+    void sumsOfAHostThatWasNeverListedPutItInNoOrder() {
+        steward = start(new Log(new PrintStream(OutputStream.nullOutputStream())));
+        steward.listed(new HostList(1, true, List.of(entry(0, State.READY, Double.NEGATIVE_INFINITY))));
+        exchange.arrived(proxies[0], new Arrival.Joining(0, 0, 1, true));
+        for (int i = 1; i < 60; i++) {
+            exchange.arrived(proxies[1], new Arrival.HostSums("s-9", 0, 50, 50, 0));
+            steward.round(T0 + 100 * i);
+        }
+        assertEquals("[s-0]", proxies[0].lines.get("order").keySet().toString());
+        assertTrue(proxies[0].out.isEmpty());
+    }
+}
--- /dev/null
+++ b/src/test/java/linenring/streams/StreamServerTest.java
@@ -0,0 +1,261 @@
+package linenring.streams;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.net.InetAddress;
+import java.net.InetSocketAddress;
+import java.net.Socket;
+import java.nio.charset.StandardCharsets;
+import java.util.ArrayList;
+import java.util.List;
+import linenring.exchange.Exchange;
+import linenring.exchange.Stream;
+import linenring.figures.Names;
+import linenring.log.Log;
+import linenring.message.Arrival;
+import linenring.message.Codec;
+import linenring.message.HostList;
+import linenring.message.Order;
+import org.eclipse.jetty.io.ByteArrayEndPoint;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import org.junit.jupiter.api.Test;
+
+class StreamServerTest {
+    private static final String JOIN = "{\"@type\":\"SUBSCRIBE\",\"id\":3,\"site\":\"a\",\"rps\":2.5,\"new\":true}\n";
+    private static final Order ORDER = new Order(List.of(new Order.Part(List.of(), false, List.of(), null,
+            List.of("s-1"), List.of(), 7)));
+    private static final String ORDERED = "{\"@type\":\"CONFIG\",\"eject\":[\"s-1\"],\"nonce_out\":7}\n";
+
+    private final Exchange exchange = new Exchange();
+    private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
+    private final StreamServer server = server(1024);
+    private final List<Object> came = new ArrayList<>();
+    private Stream lastStream;
+
+    private StreamServer server(int sockets) {
+        return new StreamServer(Runnable::run, new ScheduledExecutorScheduler(), sockets,
+                new Codec(new Names(List.of("a", "b"), List.of("m1"), List.of("lookup"), 9, 4)), exchange,
+                new Log(new PrintStream(logged, true)));
+    }
+
+    /** A peer in memory: what it is sent at once may be limited, as by one that does not read. */
+    private static final class Peer extends ByteArrayEndPoint {
+        final PeerConnection connection;
+
+        Peer(StreamServer server, int unreadMost) {
+            super(null, 0, new byte[0], unreadMost);
+            setGrowOutput(unreadMost == 0);
+            connection = new PeerConnection(this, Runnable::run, server);
+            setConnection(connection);
+            connection.onOpen();
+        }
+
+        @Override
+        protected void execute(Runnable task) {
+            task.run();
+        }
+
+        Peer says(String text) {
+            addInput(text);
+            return this;
+        }
+    }
+
+    private Peer peer() {
+        return new Peer(server, 0);
+    }
+
+    private List<Object> came() {
+        came.clear();
+        exchange.drain(new Exchange.Taker() {
+            @Override
+            public void arrived(Stream from, Arrival what) {
+                lastStream = from;
+                came.add(what);
+            }
+
+            @Override
+            public void silent(Stream which) {
+                came.add("silent");
+            }
+
+            @Override
+            public void ended(Stream which) {
+                came.add("ended");
+            }
+
+            @Override
+            public void listed(HostList list) {
+                came.add(list);
+            }
+        });
+        return came;
+    }
+
+    @Test
+    void linesThatComeInPiecesOrTogetherAreReadAlike() {
+        Peer peer = peer();
+        String answers = "{\"@type\":\"ACK\",\"id\":3,\"seq\":7,\"ms\":1}\n{\"@type\":\"ACK\",\"id\":3,\"seq\":8,\"ms\":2}\n";
+        for (char c : JOIN.toCharArray()) {
+            peer.says("" + c);
+        }
+        peer.says(answers);
+        assertEquals(List.of(new Arrival.Joining(3, 0, 2.5, true), new Arrival.Applied(3, 7, 1),
+                new Arrival.Applied(3, 8, 2)), came());
+    }
+
+    @Test
+    void aPingIsAnsweredBeforeAndAfterItIsKnownWhoIsThere() {
+        Peer peer = peer().says("{\"@type\":\"PING\"}\n" + JOIN + "{\"@type\":\"PING\"}\n");
+        assertEquals("{\"@type\":\"PONG\"}\n{\"@type\":\"PONG\"}\n", peer.takeOutputString());
+        assertEquals(1, came().size());
+    }
+
+    @Test
+    void aBadLineClosesItsOwnConnectionWithOneLineInTheLog() {
+        Peer good = peer().says(JOIN);
+        for (String bad : List.of("GET / HTTP/1.1\r\n", "{\"@type\":\"LOAD\",\"site\":\"a\",\"target\":\"s\",\"count\":1}\n",
+                JOIN + JOIN, JOIN.replace("3", "4") + "{\"@type\":\"ACK\",\"id\":3,\"seq\":7,\"ms\":1}\n")) {
+            logged.reset();
+            Peer peer = peer().says(bad + "{\"@type\":\"PING\"}\n");
+            assertFalse(peer.isOpen(), bad);
+            assertEquals("", peer.takeOutputString()); // nothing after it is looked at
+            assertEquals(1, logged.toString().lines().count(), bad);
+        }
+        came();
+        good.says("{\"@type\":\"RATE\",\"id\":3,\"lane\":\"lookup\",\"count\":4,\"over\":500}\n");
+        assertEquals(List.of(new Arrival.Usage(3, 0, 4, 500)), came());
+    }
+
+    @Test
+    void aLineMayHaveOneMebibyteOnceItIsKnownWhoSendsIt() {
+        Peer peer = peer().says(JOIN);
+        String ping = "{\"@type\":\"PING\",\"x\":\"";
+        peer.says(ping + "y".repeat((1 << 20) - ping.length() - 2) + "\"}\n");
+        assertEquals("{\"@type\":\"PONG\"}\n", peer.takeOutputString());
+        peer.says("z".repeat((1 << 20) + 1));
+        assertFalse(peer.isOpen());
+        assertFalse(peer().says("z".repeat(20_000)).isOpen()); // strangers get no such room
+    }
+
+    @Test
+    void aPeerThatReadsNothingIsLetGoOnceAFewOrdersHundredsWait() {
+        Peer peer = new Peer(server, 1024).says(JOIN);
+        int written = 0;
+        while (peer.isOpen() && written < 1_000_000) {
+            peer.connection.write(ORDER);
+            written += ORDERED.length();
+        }
+        assertTrue(written > 64_000 && written < 200_000, written + " bytes");
+        assertTrue(logged.toString().contains("proxy 3") && logged.toString().contains("reads nothing"));
+    }
+
+    @Test
+    void ordersGoOutInOrderAsThePeerReads() {
+        Peer peer = new Peer(server, 70).says(JOIN);
+        StringBuilder read = new StringBuilder();
+        for (int i = 0; i < 5; i++) {
+            peer.connection.write(ORDER);
+        }
+        for (int i = 0; i < 20; i++) {
+            read.append(peer.takeOutputString());
+        }
+        assertEquals(ORDERED.repeat(5), read.toString());
+    }
+
+    @Test
+    void theEndOfAProxysStreamIsToldOnceAndThatOfAStrangerNever() {
+        Peer peer = peer().says(JOIN);
+        came();
+        peer.addInputEOF();
+        peer.connection.onClose(null);
+        assertEquals(List.of("ended"), came());
+        Peer stranger = peer().says("{\"@type\":\"PI");
+        stranger.addInputEOF();
+        stranger.connection.onClose(null);
+        assertEquals(List.of(), came());
+    }
+
+    @Test
+    void silenceIsJudgedByAnAnswerThatIsDue() {
+        Peer stranger = peer(), proxy = peer().says(JOIN), collector = peer().says("{\"@type\":\"SOURCE\",\"site\":\"b\"}\n");
+        long past = System.nanoTime() - 1_000_000_000L, future = past + 2_000_000_000L;
+        came();
+        for (Peer peer : List.of(proxy, collector)) { // they may have nothing to say
+            peer.connection.judge(future, future, future);
+        }
+        stranger.connection.judge(past, future, future);
+        assertTrue(stranger.isOpen() && proxy.isOpen() && collector.isOpen());
+        stranger.connection.judge(future, past, past);
+        assertFalse(stranger.isOpen());
+        proxy.connection.write(ORDER);
+        proxy.connection.judge(past, past, past);
+        assertEquals(List.of(), came());
+        proxy.connection.judge(past, future, past);
+        proxy.connection.judge(past, future, past);
+        assertEquals(List.of("silent"), came()); // once
+        proxy.says("{\"@type\":\"ACK\",\"id\":3,\"seq\":7,\"ms\":1}\n");
+        assertEquals(List.of(new Arrival.Joining(3, 0, 2.5, false), new Arrival.Applied(3, 7, 1)), came());
+        proxy.connection.judge(past, future, past); // it has answered
+        assertEquals(List.of(), came());
+        proxy.connection.write(ORDER);
+        proxy.connection.judge(past, future, future);
+        assertFalse(proxy.isOpen());
+    }
+
+    @Test
+    void strangersMakeRoomForTheNextConnection() {
+        StreamServer small = server(66); // two connections
+        Peer stranger = new Peer(small, 0), proxy = new Peer(small, 0).says(JOIN), next = new Peer(small, 0);
+        assertFalse(stranger.isOpen());
+        assertTrue(proxy.isOpen() && next.isOpen());
+    }
+
+    @Test
+    void onSocketsAProxyJoinsGetsItsOrderAndLeaves() throws Exception {
+        QueuedThreadPool threads = new QueuedThreadPool(8, 2);
+        ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler();
+        threads.start();
+        scheduler.start();
+        InetSocketAddress any = new InetSocketAddress(InetAddress.getLoopbackAddress(), 0);
+        StreamServer.Opened opened = StreamServer.open(any, 1024, server.codec, exchange, server.log, threads, scheduler);
+        try (Socket socket = new Socket()) {
+            socket.setSoTimeout(20_000);
+            socket.connect(opened.server().address());
+            socket.getOutputStream().write(("{\"@type\":\"PING\"}\n" + JOIN).getBytes(StandardCharsets.UTF_8));
+            assertEquals("{\"@type\":\"PONG\"}\n", line(socket));
+            assertTrue(exchange.await(20_000_000_000L));
+            assertEquals(List.of(new Arrival.Joining(3, 0, 2.5, true)), came());
+            lastStream.write(ORDER);
+            assertEquals(ORDERED, line(socket));
+            socket.setSoLinger(true, 0); // a reset
+            socket.close();
+            assertTrue(exchange.await(20_000_000_000L));
+            assertEquals(List.of("ended"), came());
+            StreamServer.Opened again = StreamServer.open(opened.server().address(), 1024, server.codec,
+                    exchange, server.log, threads, scheduler);
+            assertEquals(StreamServer.Opened.Reached.STARTED, again.reached()); // the address is taken
+        } finally {
+            opened.server().close();
+            threads.stop();
+            scheduler.stop();
+        }
+    }
+
+    private static String line(Socket socket) throws IOException {
+        StringBuilder line = new StringBuilder();
+        for (int c; (c = socket.getInputStream().read()) >= 0; ) {
+            line.append((char) c);
+            if (c == '\n') {
+                break;
+            }
+        }
+        return line.toString();
+    }
+}
