Hosts that another steward may have shut out are let back with the next table, and the account knows

Seen in the code against PROTOCOL: a proxy keeps hosts shut out across streams, so one that moved between stewards, or outlived one, kept another's verdicts until this one happened to let the host back; with one steward restarted after a loss of hosts, for good.

--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -676,9 +676,8 @@
                 double lines = 1 + to.length + operations.length + // and the withdrawn hosts come along
                         to.members.stream().filter(h -> h.out && laid(h, to) > 0).count();
                 if (mayWrite(List.of(p), lines, to == t ? LINES : URGENT)) {
-                    orders.bind(to.number, to.operations, p.id);
                     p.bound[t.base] = to.number;
-                    order(p, lines);
+                    order(p, lines + orders.bind(to.number, to.operations, p.id));
                     fired = true;
                 }
             }
--- a/src/main/java/linenring/steward/Books.java
+++ b/src/main/java/linenring/steward/Books.java
@@ -42,7 +42,7 @@
         final BitSet rebound = new BitSet();
         final BitSet everShut = new BitSet(); // hosts it was ever told to shut out
         Stream stream;                   // null while it has none
-        boolean met, unsure;             // unsure: an earlier life of the steward may have shut hosts out there
+        boolean unsure;                  // another steward, or an earlier life of this one, may have shut hosts out there
         byte[] holds = {};               // by host
 
         Proxy(int id, int operations) {
@@ -118,8 +118,7 @@
             old.close("has a newer stream");
         }
         p.stream = stream;
-        p.unsure = p.unsure && !fresh || !p.met && !fresh;
-        p.met = true;
+        p.unsure = !fresh && (p.unsure || old != stream); // it may have been elsewhere meanwhile
         p.holds = new byte[0];
         p.everShut.stream().forEach(h -> p.setHolds(h, UNSURE)); // what was on its way may be lost
     }
@@ -195,12 +194,11 @@
     }
 
     @Override
-    public void bind(int table, int mask, int proxy) {
+    public int bind(int table, int mask, int proxy) {
         Proxy p = proxies.get(proxy);
         if (p.stream == null) {
-            return; // it has left
+            return 0; // it has left
         }
-        table(table);
         for (int k = 0; k < p.bound.length; k++) {
             if (meant(mask, k)) {
                 p.bound[k] = table;
@@ -208,6 +206,7 @@
             }
         }
         concerned.add(p);
+        return (int) table(table).lines.keySet().stream().filter(h -> !out.get(h) && p.holds(h) != OPEN).count();
     }
 
     @Override
--- a/src/main/java/linenring/streams/PeerConnection.java
+++ b/src/main/java/linenring/streams/PeerConnection.java
@@ -15,7 +15,7 @@
 import org.eclipse.jetty.util.IteratingCallback;
 import org.eclipse.jetty.util.thread.Invocable;
 
-/** One connection at the steward's address: cuts what comes into lines and writes what is ordered, in order. */
+/** One connection at the steward's address: cuts what comes into lines, writes what is ordered, in order. */
 final class PeerConnection extends AbstractConnection implements Stream {
     /** How far it has come. */
     enum Stage { STRANGER, COLLECTOR, PROXY }
@@ -23,7 +23,7 @@
     private static final int READ = 16 * 1024;
     private static final int LINE_MOST = 1 << 20;            // the protocol's limit
     private static final int STRANGERS_LINE_MOST = 16 << 10; // a first message has about 100 bytes
-    private static final int UNSENT_MOST = 128 << 10; // what a reader may leave; orders have some 100 bytes each
+    private static final int UNSENT_MOST = 128 << 10; // what a peer may leave unread before it is let go
 
     private final StreamServer server;
     private final ByteBuffer read = BufferUtil.allocate(READ); // empty: filling adds at its limit
@@ -62,7 +62,7 @@
 
         @Override
         protected void onCompleteFailure(Throwable cause) {
-            end("breaks while written to", false);
+            end("broke while it was written to", false);
         }
 
         @Override
@@ -95,7 +95,7 @@
                 BufferUtil.clear(read);
                 int got = getEndPoint().fill(read);
                 if (got < 0) {
-                    end("ended by its peer", false);
+                    end("has ended", false);
                     return;
                 }
                 if (got == 0) {
@@ -108,7 +108,7 @@
                 }
             }
         } catch (java.io.IOException e) {
-            end("reset", false);
+            end("was reset", false);
         } catch (RuntimeException e) { // no fault in one connection's handling reaches another
             end("fault: " + e, true);
         }
@@ -116,13 +116,13 @@
 
     @Override
     protected void onFillInterestedFailed(Throwable cause) {
-        end("reset", false);
+        end("was reset", false);
     }
 
     @Override
     public void onClose(Throwable cause) {
         super.onClose(cause);
-        end("reset", false);
+        end("was reset", false);
         server.closed(this);
         if (stage == Stage.PROXY) {
             server.exchange.ended(this);
@@ -185,7 +185,8 @@
         }
         if (silent) { // it counts as left: it joins again, with what it holds
             silent = false;
-            server.exchange.arrived(this, new Arrival.Joining(joining.proxy(), joining.zone(), joining.usual(), false));
+            server.exchange.arrived(this,
+                    new Arrival.Joining(joining.proxy(), joining.zone(), joining.usual(), false));
         }
         if (!(a instanceof Arrival.Collector)) {
             server.exchange.arrived(this, a);
@@ -226,10 +227,10 @@
 
     @Override
     public void close(String why) {
-        end(why, true);
+        end(why, false);
     }
 
-    /** Judges its silence: strangers that have said no word since then, and proxies while an answer is due. */
+    /** Judges its silence: a stranger's since then, and a proxy's while an answer is due. */
     synchronized void judge(long strangersSince, long silentSince, long deadSince) {
         long due = unansweredSince;
         if (stage == Stage.STRANGER && heardAt - strangersSince < 0) {
@@ -246,19 +247,22 @@
         return stage == Stage.STRANGER;
     }
 
-    private boolean end(String why, boolean ours) {
+    boolean end(String why, boolean ours) {
         synchronized (unsent) {
             if (ending) {
                 return false;
             }
             ending = true;
         }
-        String who = (stage == Stage.PROXY ? "proxy " + joining.proxy() : stage == Stage.COLLECTOR ? "collector" : "stranger")
-                + " from " + getEndPoint().getRemoteSocketAddress();
+        String who = switch (stage) {
+            case PROXY -> "proxy " + joining.proxy();
+            case COLLECTOR -> "collector";
+            case STRANGER -> "stranger";
+        };
         if (ours) {
-            server.log.warn("stream", who + " " + why + ": closed");
+            server.log.warn("stream", who + " at " + getEndPoint().getRemoteSocketAddress() + " " + why + ": closed");
         } else if (stage != Stage.STRANGER) {
-            server.log.info("stream", who + " is gone: " + why);
+            server.log.info("stream", who + " at " + getEndPoint().getRemoteSocketAddress() + ": " + why);
         }
         getEndPoint().close();
         return false;
--- a/src/main/java/linenring/streams/StreamServer.java
+++ b/src/main/java/linenring/streams/StreamServer.java
@@ -120,7 +120,7 @@
             }
         }
         if (oldest != null) {
-            oldest.close("makes room, " + most + " connections are open");
+            oldest.end("makes room, " + most + " connections are open", true);
         }
     }
 
--- a/src/main/java/linenring/wirehost/Steward.java
+++ b/src/main/java/linenring/wirehost/Steward.java
@@ -66,9 +66,10 @@
     }
 
     @Override
-    public void bind(int table, int operations, int proxy) {
+    public int bind(int table, int operations, int proxy) {
         order("subscribe_to").append(" Sheet=").append(table).append(" Mask=").append(operations)
                 .append(" Sidecar=").append(proxy).append('\n');
+        return 0; // there a bind ends the withdrawals of others by itself
     }
 
     @Override
--- a/src/test/java/linenring/plan/BalanceTest.java
+++ b/src/test/java/linenring/plan/BalanceTest.java
@@ -408,4 +408,16 @@
         f.settle();
         assertEquals(Set.of(0, 1, 2), f.out);
     }
+
+    @Test
+    void linesThatABindBringsBesideTheTableCountAsWaiting() {
+        FakeHost f = new FakeHost(figures(0)).fleet(6, 0);
+        f.bindsBring = 400;
+        f.silent.addAll(Set.of(0, 1, 2, 3, 4, 5));
+        for (int p = 0; p < 6; p++) {
+            f.join(p);
+        }
+        f.settle();
+        assertEquals(2, f.bound.size()); // a third one would find over half of 1500 lines waiting
+    }
 }
--- a/src/test/java/linenring/plan/FakeHost.java
+++ b/src/test/java/linenring/plan/FakeHost.java
@@ -21,7 +21,7 @@
     final List<String> said = new ArrayList<>();
     final Balance balance;
     double now = 100_000, answerMs = 200;
-    int barriers;
+    int barriers, bindsBring;
     private final List<Integer> pending = new ArrayList<>(); // marks not answered yet
 
     FakeHost(StartFigures figures) {
@@ -134,9 +134,10 @@
     }
 
     @Override
-    public void bind(int table, int operations, int proxy) {
+    public int bind(int table, int operations, int proxy) {
         said.add("bind");
         bound.put(proxy, table);
+        return bindsBring;
     }
 
     @Override
--- a/src/test/java/linenring/steward/BooksTest.java
+++ b/src/test/java/linenring/steward/BooksTest.java
@@ -158,17 +158,40 @@
         books.joined(0, other, false);
         books.bind(7, 0, 0);
         books.send();
-        assertEquals(List.of("s-1"), other.last().get(0).letBack());
+        assertTrue(other.last().get(0).letBack().contains("s-1"));
+    }
+
+    @Test
+    void aProxyThatWasFrozenIsSureOfAllButWhatWasOnItsWay() {
+        bound();
+        books.withdraw(1, true);
+        books.send();
+        books.joined(0, way, false); // on the very same stream
+        books.withdraw(1, false);
+        books.bind(7, 0, 0);
+        books.send();
+        assertEquals(List.of("s-1"), way.last().get(0).letBack());
+        assertEquals(null, way.closed);
+    }
+
+    @Test
+    void aProxyThatComesBackFromAnotherStewardMayHaveHostsShutOutThere() {
+        bound();
+        books.left(0);
+        books.joined(0, other, false);
+        books.bind(7, 0, 0);
+        books.send();
+        assertEquals(List.of("s-0", "s-1", "s-2"), other.last().get(0).letBack());
     }
 
     @Test
     void afterTheStewardsRestartHostsThatAnEarlierLifeShutOutAreLetBack() {
         fleet().joined(0, way, false); // it holds a table of that life
-        books.bind(7, 0, 0);
+        assertEquals(3, books.bind(7, 0, 0)); // the decisions' account must know of the lines
         books.send();
         assertEquals(List.of("s-0", "s-1", "s-2"), way.last().get(0).letBack());
         books.joined(1, other, true); // this one is as new as the steward
-        books.bind(7, 0, 1);
+        assertEquals(0, books.bind(7, 0, 1));
         books.send();
         assertEquals(NONE, other.last().get(0).letBack());
     }
