--- a/src/main/java/linenring/discovery/HostWatch.java
+++ b/src/main/java/linenring/discovery/HostWatch.java
@@ -38,7 +38,7 @@
     private final Scheduler clock;
     private volatile long version;
     private volatile boolean holdsList;
-    private long wait = REDIAL_LEAST_MS;
+    private volatile long wait = REDIAL_LEAST_MS;
 
     public HostWatch(InetSocketAddress at, HostList known, Codec codec, Exchange exchange, Log log,
             Executor executor, Scheduler scheduler) {
@@ -72,7 +72,7 @@
             } else {
                 connect(channel, null);
             }
-        } catch (IOException e) {
+        } catch (IOException | RuntimeException e) { // whatever it is, it ends this attempt and no more
             closeQuietly(channel);
             ended(new Ended(Ended.Reached.DIALLED, String.valueOf(e.getMessage())));
         }
--- a/src/main/java/linenring/streams/PeerConnection.java
+++ b/src/main/java/linenring/streams/PeerConnection.java
@@ -20,14 +20,15 @@
     /** How far it has come. */
     enum Stage { STRANGER, COLLECTOR, PROXY }
 
-    private static final int READ = 16 * 1024;
+    private static final ThreadLocal<ByteBuffer> READ = // one for each of the few threads, not for each connection
+            ThreadLocal.withInitial(() -> BufferUtil.allocate(16 * 1024));
+    private static final int LINE_LEAST = 512; // most lines are shorter
     private static final int LINE_MOST = 1 << 20;            // the protocol's limit
     private static final int STRANGERS_LINE_MOST = 16 << 10; // a first message has about 100 bytes
     private static final int UNSENT_MOST = 128 << 10; // what a peer may leave unread before it is let go
 
     private final StreamServer server;
-    private final ByteBuffer read = BufferUtil.allocate(READ); // empty: filling adds at its limit
-    private byte[] line = new byte[512];
+    private byte[] line = new byte[LINE_LEAST];
     private int length;
     private volatile Stage stage = Stage.STRANGER;
     private Arrival.Joining joining; // what a proxy said first
@@ -91,8 +92,9 @@
     @Override
     public void onFillable() {
         try {
+            ByteBuffer read = READ.get();
             while (true) {
-                BufferUtil.clear(read);
+                BufferUtil.clear(read); // filling adds at its limit
                 int got = getEndPoint().fill(read);
                 if (got < 0) {
                     end("has ended", false);
@@ -123,6 +125,7 @@
     public void onClose(Throwable cause) {
         super.onClose(cause);
         end("was reset", false);
+        letLineGo();
         server.closed(this);
         if (stage == Stage.PROXY) {
             server.exchange.ended(this);
@@ -142,7 +145,11 @@
                 return end("sends a line of over " + most + " bytes", true);
             }
             if (length + more > line.length) {
-                line = Arrays.copyOf(line, Math.min(most, Math.max(length + more, 2 * line.length)));
+                int size = Math.min(most, Math.max(length + more, 2 * line.length));
+                if (!server.mayHold(size - line.length)) {
+                    return end("is one of too many with a long line begun", true);
+                }
+                line = Arrays.copyOf(line, size);
             }
             System.arraycopy(from, at, line, length, more);
             length += more;
@@ -156,9 +163,19 @@
                 most = stage == Stage.STRANGER ? STRANGERS_LINE_MOST : LINE_MOST;
             }
         }
+        if (length == 0) {
+            letLineGo();
+        }
         return true;
     }
 
+    private void letLineGo() {
+        if (line.length > LINE_LEAST) {
+            server.mayHold(LINE_LEAST - line.length);
+            line = new byte[LINE_LEAST];
+        }
+    }
+
     private synchronized boolean took(Decoded<Arrival> decoded) {
         if (decoded.value() == null) {
             return end("sends what can't be read, " + decoded.fault(), true);
--- a/src/main/java/linenring/streams/StreamServer.java
+++ b/src/main/java/linenring/streams/StreamServer.java
@@ -37,6 +37,7 @@
     private static final long SILENT_NS = TimeUnit.SECONDS.toNanos(3);
     private static final long DEAD_NS = TimeUnit.SECONDS.toNanos(60); // past any answer: its socket is freed
     private static final long SWEEP_MS = 250;
+    private static final int HELD_MOST = 16 << 20; // bytes of begun lines, of all connections: a third of the heap
 
     final Exchange exchange;
     final Codec codec;
@@ -46,6 +47,7 @@
     private final Scheduler clock;
     private ServerSocketChannel channel;
     private long sweptAt = System.nanoTime();
+    private int held;
 
     StreamServer(Executor executor, Scheduler scheduler, int sockets, Codec codec, Exchange exchange,
             Log log) {
@@ -124,6 +126,15 @@
         }
     }
 
+    /** Asks for so many bytes more, or gives them back; false if that would be too much. */
+    synchronized boolean mayHold(int more) {
+        if (more > 0 && held + more > HELD_MOST) {
+            return false;
+        }
+        held += more;
+        return true;
+    }
+
     void closed(PeerConnection connection) {
         synchronized (connections) {
             connections.remove(connection);
@@ -135,16 +146,19 @@
     }
 
     private void sweep() {
-        List<PeerConnection> all;
-        synchronized (connections) {
-            all = List.copyOf(connections);
-        }
-        long now = System.nanoTime();
-        boolean stood = now - sweptAt > TimeUnit.MILLISECONDS.toNanos(2 * SWEEP_MS); // what came is not read yet
-        sweptAt = now;
-        for (PeerConnection connection : stood ? List.<PeerConnection>of() : all) {
-            connection.judge(now - STRANGER_NS, now - SILENT_NS, now - DEAD_NS);
+        try {
+            List<PeerConnection> all;
+            synchronized (connections) {
+                all = List.copyOf(connections);
+            }
+            long now = System.nanoTime();
+            boolean stood = now - sweptAt > TimeUnit.MILLISECONDS.toNanos(2 * SWEEP_MS); // what came is not read yet
+            sweptAt = now;
+            for (PeerConnection connection : stood ? List.<PeerConnection>of() : all) {
+                connection.judge(now - STRANGER_NS, now - SILENT_NS, now - DEAD_NS);
+            }
+        } finally {
+            clock.schedule(this::sweep, SWEEP_MS, TimeUnit.MILLISECONDS);
         }
-        clock.schedule(this::sweep, SWEEP_MS, TimeUnit.MILLISECONDS);
     }
 }
--- a/src/test/java/linenring/streams/StreamServerTest.java
+++ b/src/test/java/linenring/streams/StreamServerTest.java
@@ -144,6 +144,18 @@
         assertFalse(peer().says("z".repeat(20_000)).isOpen()); // strangers get no such room
     }
 
+    @Test
+    void longLinesThatManyBeginAreBoundedTogetherAndGivenBack() {
+        String half = "x".repeat(1_000_000);
+        List<Peer> peers = new ArrayList<>();
+        for (int i = 0; i < 20; i++) {
+            peers.add(peer().says(JOIN + half));
+        }
+        assertEquals(16, peers.stream().filter(Peer::isOpen).count());
+        peers.forEach(p -> p.connection.onClose(null));
+        assertTrue(peer().says(JOIN + half).isOpen());
+    }
+
     @Test
     void aPeerThatReadsNothingIsLetGoOnceAFewOrdersHundredsWait() {
         Peer peer = new Peer(server, 1024).says(JOIN);
