Hosts that others may have shut out are let back a few at a time, so that binds stay short

Hosts that come back cold are let back with their ramp's lines in any case. Now a whole table takes only what its levels save (a level for each operation is reckoned with), other messages one, drains none. A withdrawal no longer goes to a bound proxy whose tables don't have the host.

--- a/src/main/java/linenring/steward/Books.java
+++ b/src/main/java/linenring/steward/Books.java
@@ -4,6 +4,7 @@
 import java.util.Arrays;
 import java.util.BitSet;
 import java.util.HashMap;
+import java.util.LinkedHashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Map;
@@ -22,7 +23,10 @@
  */
 final class Books implements Orders {
     /** What a proxy does with a host, as far as is known here. */
-    private static final byte OPEN = 0, SHUT = 1, UNSURE = 2;
+    private static final byte OPEN = 0, SHUT = 1;
+    /** The order may be lost with a stream; another steward, or an earlier life of this one, may have shut it out. */
+    private static final byte UNSURE = 2, FOREIGN = 3;
+    private static final int LINES_MOST = 10_000; // of one part: some 40 bytes each keep its line under half a MiB
 
     private static final class Table {
         final TreeMap<Integer, Double> lines = new TreeMap<>(); // weight by host
@@ -42,7 +46,7 @@
         final BitSet rebound = new BitSet();
         final BitSet everShut = new BitSet(); // hosts it was ever told to shut out
         Stream stream;                   // null while it has none
-        boolean unsure;                  // another steward, or an earlier life of this one, may have shut hosts out there
+        boolean foreign;                 // others may have shut hosts out there
         byte[] holds = {};               // by host
 
         Proxy(int id, int operations) {
@@ -52,14 +56,14 @@
         }
 
         byte holds(int host) {
-            return host < holds.length ? holds[host] : unsure ? UNSURE : OPEN;
+            return host < holds.length ? holds[host] : foreign ? FOREIGN : OPEN;
         }
 
         void setHolds(int host, byte what) {
             if (host >= holds.length) {
                 int known = holds.length;
                 holds = Arrays.copyOf(holds, host + 16);
-                Arrays.fill(holds, known, holds.length, unsure ? UNSURE : OPEN);
+                Arrays.fill(holds, known, holds.length, foreign ? FOREIGN : OPEN);
             }
             holds[host] = what;
         }
@@ -118,7 +122,7 @@
             old.close("has a newer stream");
         }
         p.stream = stream;
-        p.unsure = !fresh && (p.unsure || old != stream); // it may have been elsewhere meanwhile
+        p.foreign = !fresh && (p.foreign || old != stream); // it may have been elsewhere meanwhile
         p.holds = new byte[0];
         p.everShut.stream().forEach(h -> p.setHolds(h, UNSURE)); // what was on its way may be lost
     }
@@ -206,7 +210,8 @@
             }
         }
         concerned.add(p);
-        return (int) table(table).lines.keySet().stream().filter(h -> !out.get(h) && p.holds(h) != OPEN).count();
+        return (int) table(table).lines.keySet().stream().filter(h -> !out.get(h) && p.holds(h) % FOREIGN != OPEN)
+                .count();
     }
 
     @Override
@@ -288,9 +293,10 @@
 
     private Order message(Proxy p) {
         List<Order.Part> parts = new ArrayList<>();
-        BitSet hostsTold = new BitSet();
+        BitSet told = new BitSet();
         BitSet open = new BitSet();
         open.set(0, operations.size());
+        int spare = -1; // lines that the decisions reckon with and no order takes; -1: no whole table is told
         while (!open.isEmpty()) { // the operations by the table that they are on, and whether it is new to them
             int first = open.nextSetBit(0), number = p.bound[first];
             Table t = number < 0 ? null : table(number);
@@ -299,42 +305,54 @@
             open.stream().filter(k -> p.bound[k] == number
                     && whole == (t != null && (p.rebound.get(k) || t.wiped))).forEach(alike::set);
             open.andNot(alike);
-            tableParts(parts, t, whole, alike, hostsTold);
-        }
-        hostsTold.or(outChanged);
-        List<String> shutOut = new ArrayList<>(), letBack = new ArrayList<>();
-        hostsTold.stream().filter(h -> p.holds(h) != (out.get(h) ? SHUT : OPEN)).filter(h -> out.get(h)
-                ? outChanged.get(h) || holdsLine(p, h) : true).forEach(h -> {
-                    (out.get(h) ? shutOut : letBack).add(words.get(h));
-                    p.setHolds(h, out.get(h) ? SHUT : OPEN);
-                    if (out.get(h)) {
-                        p.everShut.set(h);
-                    }
-                });
-        // shutting out goes into the last part, with the mark
-        int last = parts.size() - 1;
-        if (last < 0) {
-            parts.add(new Order.Part(List.of(), false, List.of(), null, shutOut, letBack, mark));
-        } else {
-            Order.Part e = parts.get(last);
-            parts.set(last, new Order.Part(e.operations(), e.whole(), e.lines(), e.level(), shutOut, letBack, mark));
+            int levels = tableParts(parts, t, whole, alike);
+            spare = whole ? Math.max(0, spare) + alike.cardinality() - levels : spare; // a level for each is reckoned with
+            Set<Integer> hosts = t == null ? Set.of() : whole ? t.lines.keySet() : t.changed;
+            hosts.stream().filter(t == null ? h -> false : t.lines::containsKey)
+                    .filter(h -> !whole || out.get(h) || p.holds(h) != FOREIGN).forEach(told::set);
         }
+        outChanged.stream().filter(h -> !out.get(h) || holdsLine(p, h)).forEach(told::set);
+        told.stream().filter(out::get).forEach(p.everShut::set);
+        List<String> shutOut = say(p, told.stream().filter(out::get).toArray(), SHUT);
+        List<String> letBack = new ArrayList<>(say(p, told.stream().filter(h -> !out.get(h)).toArray(), OPEN));
+        spare = spare >= 0 ? spare : parts.isEmpty() || !shutOut.isEmpty() ? 0 : 1; // one is no burden, but to drains
+        letBack.addAll(say(p, tables.entrySet().stream().filter(e -> uses(p, e.getKey()))
+                .flatMap(e -> e.getValue().lines.keySet().stream()).distinct().mapToInt(h -> h)
+                .filter(h -> !out.get(h) && p.holds(h) == FOREIGN).limit(spare).toArray(), OPEN));
+        // hosts and the mark go into the last part
+        Order.Part e = parts.isEmpty() ? part(List.of(), false, List.of(), null) : parts.remove(parts.size() - 1);
+        parts.add(new Order.Part(e.operations(), e.whole(), e.lines(), e.level(), shutOut, letBack, mark));
         return new Order(parts);
     }
 
-    private boolean holdsLine(Proxy p, int host) {
-        return Arrays.stream(p.bound).anyMatch(b -> b == -1 || table(b).lines.containsKey(host));
+    /** The words for those of the hosts at which the proxy is not known to do this already; from now on it is. */
+    private List<String> say(Proxy p, int[] hosts, byte what) {
+        List<String> said = new ArrayList<>();
+        for (int h : hosts) {
+            if (p.holds(h) != what) {
+                said.add(words.get(h));
+                p.setHolds(h, what);
+            }
+        }
+        return said;
     }
 
-    private void tableParts(List<Order.Part> parts, Table t, boolean whole, BitSet alike, BitSet hostsTold) {
+    private boolean holdsLine(Proxy p, int host) { // or did until now
+        return Arrays.stream(p.bound).anyMatch(b -> b == -1 || table(b).lines.containsKey(host)
+                || table(b).changed.contains(host));
+    }
+
+    private static Order.Part part(List<String> operations, boolean whole, List<Order.Line> lines, Order.Level level) {
+        return new Order.Part(operations, whole, lines, level, List.of(), List.of(), Order.NO_MARK);
+    }
+
+    /** Adds the parts that tell of one table; tells how many levels they have. */
+    private int tableParts(List<Order.Part> parts, Table t, boolean whole, BitSet alike) {
         List<Order.Line> lines = new ArrayList<>();
         for (int h : t == null ? Set.<Integer>of() : whole ? t.lines.keySet() : t.changed) {
             lines.add(new Order.Line(words.get(h), t.lines.getOrDefault(h, 0.0)));
-            if (t.lines.containsKey(h)) {
-                hostsTold.set(h);
-            }
         }
-        Map<Order.Level, BitSet> levels = new java.util.LinkedHashMap<>(); // operations by their level
+        Map<Order.Level, BitSet> levels = new LinkedHashMap<>(); // operations by their level
         alike.stream().filter(k -> whole || t == null ? everywhere[k] != null || t != null && t.levels[k] != null
                 : t.levelled.get(k)).forEach(k -> {
                     Order.Level level = lower(t == null ? null : t.levels[k], everywhere[k]);
@@ -344,13 +362,15 @@
                 });
         Order.Level forAll = levels.size() == 1 && levels.values().iterator().next().equals(alike)
                 ? levels.keySet().iterator().next() : null;
-        if (whole || !lines.isEmpty() || forAll != null) {
-            parts.add(new Order.Part(names(alike), whole, lines, forAll, List.of(), List.of(), Order.NO_MARK));
+        for (int from = 0; from == 0 ? whole || !lines.isEmpty() || forAll != null : from < lines.size();
+                from += LINES_MOST) {
+            List<Order.Line> some = lines.subList(from, Math.min(lines.size(), from + LINES_MOST));
+            parts.add(part(names(alike), whole && from == 0, some, from == 0 ? forAll : null));
         }
         if (forAll == null) {
-            levels.forEach((level, mask) -> parts.add(new Order.Part(names(mask), false, List.of(), level,
-                    List.of(), List.of(), Order.NO_MARK)));
+            levels.forEach((level, mask) -> parts.add(part(names(mask), false, List.of(), level)));
         }
+        return levels.size();
     }
 
     /** Beside the table's own level the lower one counts, and the table's way to try again. */
