--- /dev/null
+++ b/src/main/java/linenring/steward/Messages.java
@@ -0,0 +1,114 @@
+package linenring.steward;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.BitSet;
+import java.util.LinkedHashMap;
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import linenring.message.Order;
+
+/** Makes one message for a proxy of what the books say has changed for it, and marks what it then knows. */
+final class Messages {
+    private static final int LINES_MOST = 10_000; // of a part: at some 40 bytes each it has under half a MiB
+
+    private final Books books;
+
+    Messages(Books books) {
+        this.books = books;
+    }
+
+    /** All that was ordered since the last send and concerns this proxy, as one message. */
+    Order to(Proxy p, int mark) {
+        List<Order.Part> parts = new ArrayList<>();
+        BitSet told = new BitSet();
+        BitSet open = new BitSet();
+        open.set(0, books.operations.size());
+        int spare = -1; // lines that the decisions reckon with and no order takes; -1: no whole table is told
+        while (!open.isEmpty()) { // the operations by the table that they are on, and whether it is new to them
+            int first = open.nextSetBit(0), number = p.bound[first];
+            Table t = number < 0 ? null : books.table(number);
+            boolean whole = t != null && (p.rebound.get(first) || t.wiped);
+            BitSet alike = new BitSet();
+            open.stream().filter(k -> p.bound[k] == number
+                    && whole == (t != null && (p.rebound.get(k) || t.wiped))).forEach(alike::set);
+            open.andNot(alike);
+            int levels = tableParts(parts, t, whole, alike);
+            spare = whole ? Math.max(0, spare) + alike.cardinality() - levels : spare; // a level for each is reckoned with
+            Set<Integer> hosts = t == null ? Set.of() : whole ? t.lines.keySet() : t.changed;
+            hosts.stream().filter(t == null ? h -> false : t.lines::containsKey)
+                    .filter(h -> !whole || books.out.get(h) || p.holds(h) != Proxy.FOREIGN).forEach(told::set);
+        }
+        books.outChanged.stream().filter(h -> !books.out.get(h) || holdsLine(p, h)).forEach(told::set);
+        List<String> shutOut = say(p, told.stream().filter(books.out::get).toArray(), Proxy.SHUT);
+        List<String> letBack = new ArrayList<>(say(p, told.stream().filter(h -> !books.out.get(h)).toArray(), Proxy.OPEN));
+        spare = spare >= 0 ? spare : parts.isEmpty() || !shutOut.isEmpty() ? 0 : 1; // one is no burden, but to drains
+        letBack.addAll(say(p, books.tables.entrySet().stream().filter(e -> p.uses(e.getKey()))
+                .flatMap(e -> e.getValue().lines.keySet().stream()).distinct().mapToInt(h -> h)
+                .filter(h -> !books.out.get(h) && p.holds(h) == Proxy.FOREIGN).limit(spare).toArray(), Proxy.OPEN));
+        // hosts and the mark go into the last part
+        Order.Part e = parts.isEmpty() ? part(List.of(), false, List.of(), null) : parts.remove(parts.size() - 1);
+        parts.add(new Order.Part(e.operations(), e.whole(), e.lines(), e.level(), shutOut, letBack, mark));
+        return new Order(parts);
+    }
+
+    /** The words for those of the hosts at which the proxy is not known to do this already; from now on it is. */
+    private List<String> say(Proxy p, int[] hosts, byte what) {
+        List<String> said = new ArrayList<>();
+        for (int h : hosts) {
+            if (p.holds(h) != what) {
+                said.add(books.words.get(h));
+                p.setHolds(h, what);
+            }
+        }
+        return said;
+    }
+
+    private boolean holdsLine(Proxy p, int host) { // or did until now
+        return Arrays.stream(p.bound).anyMatch(b -> b == -1 || books.table(b).lines.containsKey(host)
+                || books.table(b).changed.contains(host));
+    }
+
+    private static Order.Part part(List<String> operations, boolean whole, List<Order.Line> lines, Order.Level level) {
+        return new Order.Part(operations, whole, lines, level, List.of(), List.of(), Order.NO_MARK);
+    }
+
+    /** Adds the parts that tell of one table; tells how many levels they have. */
+    private int tableParts(List<Order.Part> parts, Table t, boolean whole, BitSet alike) {
+        List<Order.Line> lines = new ArrayList<>();
+        for (int h : t == null ? Set.<Integer>of() : whole ? t.lines.keySet() : t.changed) {
+            lines.add(new Order.Line(books.words.get(h), t.lines.getOrDefault(h, 0.0)));
+        }
+        Map<Order.Level, BitSet> levels = new LinkedHashMap<>(); // operations by their level
+        alike.stream().filter(k -> whole || t == null ? books.everywhere[k] != null || t != null && t.levels[k] != null
+                : t.levelled.get(k)).forEach(k -> {
+                    Order.Level level = lower(t == null ? null : t.levels[k], books.everywhere[k]);
+                    if (level != null) {
+                        levels.computeIfAbsent(level, l -> new BitSet()).set(k);
+                    }
+                });
+        Order.Level forAll = levels.size() == 1 && levels.values().iterator().next().equals(alike)
+                ? levels.keySet().iterator().next() : null;
+        for (int from = 0; from == 0 ? whole || !lines.isEmpty() || forAll != null : from < lines.size();
+                from += LINES_MOST) {
+            List<Order.Line> some = lines.subList(from, Math.min(lines.size(), from + LINES_MOST));
+            parts.add(part(names(alike), whole && from == 0, some, from == 0 ? forAll : null));
+        }
+        if (forAll == null) {
+            levels.forEach((level, mask) -> parts.add(part(names(mask), false, List.of(), level)));
+        }
+        return levels.size();
+    }
+
+    /** Beside the table's own level the lower one counts, and the table's way to try again. */
+    private static Order.Level lower(Order.Level own, Order.Level everywhere) {
+        return own == null || everywhere == null ? own == null ? everywhere : own
+                : new Order.Level(Math.min(own.letIn(), everywhere.letIn()), own.tries());
+    }
+
+    private List<String> names(BitSet mask) {
+        return mask.cardinality() == books.operations.size() ? List.of()
+                : mask.stream().mapToObj(books.operations::get).toList();
+    }
+}
--- /dev/null
+++ b/src/main/java/linenring/steward/Proxy.java
@@ -0,0 +1,65 @@
+package linenring.steward;
+
+import java.util.Arrays;
+import java.util.BitSet;
+import linenring.exchange.Stream;
+
+/** One proxy: its stream, its tables, and what it was told to shut out. */
+final class Proxy {
+    /** What it does with a host, as far as is known. */
+    static final byte OPEN = 0, SHUT = 1;
+    /** An order on that may be lost with a stream; another steward, or an earlier life of this one, may have given one. */
+    static final byte UNSURE = 2, FOREIGN = 3;
+
+    final int id;
+    final int[] bound;                    // table by operation, or -1 for its standing table
+    final BitSet rebound = new BitSet();  // operations that were bound since the last send
+    Stream stream;                        // null while it has none
+    private final BitSet everShut = new BitSet(); // hosts that it was ever told to shut out from here
+    private boolean foreign;              // others may have shut hosts out there
+    private byte[] holds = {};            // by host
+
+    Proxy(int id, int operations) {
+        this.id = id;
+        bound = new int[operations];
+        Arrays.fill(bound, -1);
+    }
+
+    void joins(Stream on, boolean fresh, boolean sameStream) {
+        stream = on;
+        foreign = !fresh && (foreign || !sameStream); // it may have been elsewhere meanwhile
+        holds = new byte[0];
+        everShut.stream().forEach(h -> setHolds(h, UNSURE)); // what was on its way may be lost
+    }
+
+    void leaves() {
+        stream = null;
+        Arrays.fill(bound, -1);
+        rebound.clear();
+    }
+
+    boolean uses(int table) {
+        return stream != null && Arrays.stream(bound).anyMatch(b -> b == table);
+    }
+
+    byte holds(int host) {
+        return host < holds.length ? holds[host] : foreign ? FOREIGN : OPEN;
+    }
+
+    void setHolds(int host, byte what) {
+        if (host >= holds.length) {
+            int known = holds.length;
+            holds = Arrays.copyOf(holds, host + 16);
+            Arrays.fill(holds, known, holds.length, foreign ? FOREIGN : OPEN);
+        }
+        holds[host] = what;
+        if (what == SHUT) {
+            everShut.set(host);
+        }
+    }
+
+    /** Whether a line that lets the host back must come with its table: this steward once shut it out. */
+    boolean mustBeLetBack(int host) {
+        return holds(host) == SHUT || holds(host) == UNSURE;
+    }
+}
