--- a/src/main/java/linenring/configuration/ConfigurationReader.java
+++ b/src/main/java/linenring/configuration/ConfigurationReader.java
@@ -25,7 +25,7 @@
  */
 public final class ConfigurationReader {
     private static final int SOCKETS = 1024;      // where no limit is told: the usual limit of a process
-    private static final int SOCKETS_LEAST = 128; // the process itself needs about 40
+    private static final int SOCKETS_LEAST = 48;  // the process itself needs about 20
 
     private ConfigurationReader() {
     }
--- a/src/main/java/linenring/message/Codec.java
+++ b/src/main/java/linenring/message/Codec.java
@@ -91,14 +91,15 @@
         return switch (f.type) {
             case "PING" -> new Arrival.Ping();
             case "SOURCE" -> new Arrival.Collector(zone(f.site));
-            case "SUBSCRIBE" -> new Arrival.Joining(proxy(f.id), zone(f.site), atLeast0("rps", f.rps, 1.0),
-                    f.fresh == null || f.fresh);
+            case "SUBSCRIBE" -> new Arrival.Joining(proxy(f.id), zone(f.site), atLeast0("rps", f.rps, null),
+                    present("new", f.fresh));
             case "ACK" -> new Arrival.Applied(proxy(f.id), whole("seq", f.seq, 65535),
-                    atLeast0("ms", f.ms, 0.0));
+                    atLeast0("ms", f.ms, null));
             case "LOAD" -> {
                 int count = whole("count", f.count, Integer.MAX_VALUE);
-                yield new Arrival.HostSums(present("target", f.target), zone(f.site), count,
-                        f.fail == null ? 0 : whole("fail", f.fail, count), atLeast0("mean", f.mean, 0.0));
+                int fail = whole("fail", f.fail, count);
+                yield new Arrival.HostSums(present("target", f.target), zone(f.site), count, fail,
+                        atLeast0("mean", f.mean, fail == count ? 0.0 : null)); // there is none of none
             }
             case "RATE" -> new Arrival.Usage(proxy(f.id), place("lane", names.operations(), f.lane),
                     whole("count", f.count, Integer.MAX_VALUE), atLeast0("over", f.over, null));
--- a/src/main/java/linenring/streams/StreamServer.java
+++ b/src/main/java/linenring/streams/StreamServer.java
@@ -31,7 +31,7 @@
     }
 
     private static final int BACKLOG = 512;
-    private static final int OWN_SOCKETS = 64; // what the process opens besides: files, selectors, discovery
+    private static final int OWN_SOCKETS = 32; // what the process opens besides: files, selectors, discovery, some 20
     private static final long STRANGER_NS = TimeUnit.SECONDS.toNanos(20); // who dials says who it is at once
     /** Proxies stand still for 2 s at times; who says nothing for longer while an answer is due counts as left. */
     private static final long SILENT_NS = TimeUnit.SECONDS.toNanos(3);
