Reads take turns, closing and reading share a lock; messages and addresses tidied

A connection closed from another thread while a line grew could leak its part of the 16 MiB for begun lines.

--- a/src/main/java/linenring/Main.java
+++ b/src/main/java/linenring/Main.java
@@ -4,6 +4,7 @@
 import java.io.FileOutputStream;
 import java.io.IOException;
 import java.io.PrintStream;
+import java.lang.management.ManagementFactory;
 import linenring.configuration.Configuration;
 import linenring.configuration.ConfigurationReader;
 import linenring.discovery.HostWatch;
@@ -22,7 +23,7 @@
             usage: linenring SUBCOMMAND
               serve      be a steward on sockets, as GW_CONFIG and the environment say
               wirehost   decide over the simulator's wire on standard input and output""";
-    private static final int THREADS = 8; // two selectors, their helpers and one to spare: all of them short of work
+    private static final int THREADS = 8; // two selectors, their helpers and some to spare
 
     private Main() {
     }
@@ -47,6 +48,7 @@
             System.err.println("linenring: " + read.fault());
             return 3;
         }
+        String at = told.listen().getAddress().getHostAddress() + ":" + told.listen().getPort();
         Log log = new Log(new PrintStream(new FileOutputStream(FileDescriptor.err), true));
         Exchange exchange = new Exchange();
         Codec codec = new Codec(told.names());
@@ -60,7 +62,7 @@
             StreamServer.Opened opened = StreamServer.open(told.listen(), told.sockets(), codec, exchange, log,
                     threads, scheduler);
             if (opened.server() == null) {
-                System.err.println("linenring: cannot listen at " + told.listen() + ", though "
+                System.err.println("linenring: cannot listen at " + at + ", though "
                         + opened.reached().name().toLowerCase(java.util.Locale.ROOT) + ": " + opened.fault());
                 return 4;
             }
@@ -70,8 +72,8 @@
             return 4;
         }
         Runtime.getRuntime().addShutdownHook(new Thread(() -> log.info("steward", "is told to end")));
-        log.info("steward", told.name() + " serves at " + told.listen() + ", "
-                + java.lang.management.ManagementFactory.getRuntimeMXBean().getUptime() + " ms after its start");
+        log.info("steward", told.name() + " serves at " + at + ", "
+                + ManagementFactory.getRuntimeMXBean().getUptime() + " ms after its start");
         steward.run();
         return 0;
     }
--- a/src/main/java/linenring/message/Codec.java
+++ b/src/main/java/linenring/message/Codec.java
@@ -6,6 +6,7 @@
 import com.fasterxml.jackson.core.JsonToken;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
+import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
 import linenring.figures.Names;
@@ -14,7 +15,7 @@
 /** Reads and writes messages: each is decoded once and encoded once. Unknown fields are passed over. */
 public final class Codec {
     /** The answer to a ping. */
-    private static final byte[] PONG = "{\"@type\":\"PONG\"}\n".getBytes(java.nio.charset.StandardCharsets.US_ASCII);
+    private static final byte[] PONG = "{\"@type\":\"PONG\"}\n".getBytes(StandardCharsets.US_ASCII);
 
     private final JsonFactory json = new JsonFactory();
     private final Names names;
--- a/src/main/java/linenring/steward/Messages.java
+++ b/src/main/java/linenring/steward/Messages.java
@@ -7,6 +7,7 @@
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
+import java.util.stream.IntStream;
 import linenring.message.Order;
 
 /** Makes one message for a proxy of what the books say has changed for it, and marks what it then knows. */
@@ -35,24 +36,34 @@
                     && whole == (t != null && (p.rebound.get(k) || t.wiped))).forEach(alike::set);
             open.andNot(alike);
             int levels = tableParts(parts, t, whole, alike);
-            spare = whole ? Math.max(0, spare) + alike.cardinality() - levels : spare; // a level for each is reckoned with
+            if (whole) { // a level for each operation is reckoned with
+                spare = Math.max(0, spare) + alike.cardinality() - levels;
+            }
             Set<Integer> hosts = t == null ? Set.of() : whole ? t.lines.keySet() : t.changed;
             hosts.stream().filter(t == null ? h -> false : t.lines::containsKey)
                     .filter(h -> !whole || books.out.get(h) || p.holds(h) != Proxy.FOREIGN).forEach(told::set);
         }
         books.outChanged.stream().filter(h -> !books.out.get(h) || holdsLine(p, h)).forEach(told::set);
         List<String> shutOut = say(p, told.stream().filter(books.out::get).toArray(), Proxy.SHUT);
-        List<String> letBack = new ArrayList<>(say(p, told.stream().filter(h -> !books.out.get(h)).toArray(), Proxy.OPEN));
-        spare = spare >= 0 ? spare : parts.isEmpty() || !shutOut.isEmpty() ? 0 : 1; // one is no burden, but to drains
-        letBack.addAll(say(p, books.tables.entrySet().stream().filter(e -> p.uses(e.getKey()))
-                .flatMap(e -> e.getValue().lines.keySet().stream()).distinct().mapToInt(h -> h)
-                .filter(h -> !books.out.get(h) && p.holds(h) == Proxy.FOREIGN).limit(spare).toArray(), Proxy.OPEN));
+        List<String> letBack = say(p, told.stream().filter(h -> !books.out.get(h)).toArray(), Proxy.OPEN);
+        if (spare < 0) {
+            spare = parts.isEmpty() || !shutOut.isEmpty() ? 0 : 1; // one is no burden, but to drains
+        }
+        letBack.addAll(say(p, foreign(p).limit(spare).toArray(), Proxy.OPEN));
         // hosts and the mark go into the last part
-        Order.Part e = parts.isEmpty() ? part(List.of(), false, List.of(), null) : parts.remove(parts.size() - 1);
+        Order.Part e = parts.isEmpty() ? part(List.of(), false, List.of(), null)
+                : parts.remove(parts.size() - 1);
         parts.add(new Order.Part(e.operations(), e.whole(), e.lines(), e.level(), shutOut, letBack, mark));
         return new Order(parts);
     }
 
+    /** The hosts in the proxy's tables that others may have shut out there. */
+    private IntStream foreign(Proxy p) {
+        return books.tables.entrySet().stream().filter(e -> p.uses(e.getKey()))
+                .flatMap(e -> e.getValue().lines.keySet().stream()).distinct().mapToInt(h -> h)
+                .filter(h -> !books.out.get(h) && p.holds(h) == Proxy.FOREIGN);
+    }
+
     /** The words for those of the hosts at which the proxy is not known to do this already; from now on it is. */
     private List<String> say(Proxy p, int[] hosts, byte what) {
         List<String> said = new ArrayList<>();
@@ -70,7 +81,8 @@
                 || books.table(b).changed.contains(host));
     }
 
-    private static Order.Part part(List<String> operations, boolean whole, List<Order.Line> lines, Order.Level level) {
+    private static Order.Part part(List<String> operations, boolean whole, List<Order.Line> lines,
+            Order.Level level) {
         return new Order.Part(operations, whole, lines, level, List.of(), List.of(), Order.NO_MARK);
     }
 
@@ -81,13 +93,12 @@
             lines.add(new Order.Line(books.words.get(h), t.lines.getOrDefault(h, 0.0)));
         }
         Map<Order.Level, BitSet> levels = new LinkedHashMap<>(); // operations by their level
-        alike.stream().filter(k -> whole || t == null ? books.everywhere[k] != null || t != null && t.levels[k] != null
-                : t.levelled.get(k)).forEach(k -> {
-                    Order.Level level = lower(t == null ? null : t.levels[k], books.everywhere[k]);
-                    if (level != null) {
-                        levels.computeIfAbsent(level, l -> new BitSet()).set(k);
-                    }
-                });
+        alike.stream().filter(k -> whole || t == null || t.levelled.get(k)).forEach(k -> {
+            Order.Level level = lower(t == null ? null : t.levels[k], books.everywhere[k]);
+            if (level != null) {
+                levels.computeIfAbsent(level, l -> new BitSet()).set(k);
+            }
+        });
         Order.Level forAll = levels.size() == 1 && levels.values().iterator().next().equals(alike)
                 ? levels.keySet().iterator().next() : null;
         for (int from = 0; from == 0 ? whole || !lines.isEmpty() || forAll != null : from < lines.size();
--- a/src/main/java/linenring/steward/Proxy.java
+++ b/src/main/java/linenring/steward/Proxy.java
@@ -8,7 +8,7 @@
 final class Proxy {
     /** What it does with a host, as far as is known. */
     static final byte OPEN = 0, SHUT = 1;
-    /** An order on that may be lost with a stream; another steward, or an earlier life of this one, may have given one. */
+    /** An order may be lost with a stream; another steward, or an earlier life of this one, may have given it. */
     static final byte UNSURE = 2, FOREIGN = 3;
 
     final int id;
--- a/src/main/java/linenring/streams/PeerConnection.java
+++ b/src/main/java/linenring/streams/PeerConnection.java
@@ -20,12 +20,14 @@
     /** How far it has come. */
     enum Stage { STRANGER, COLLECTOR, PROXY }
 
-    private static final ThreadLocal<ByteBuffer> READ = // one for each of the few threads, not for each connection
+    /** One for each of the few threads, and not for each connection. */
+    private static final ThreadLocal<ByteBuffer> READ =
             ThreadLocal.withInitial(() -> BufferUtil.allocate(16 * 1024));
-    private static final int LINE_LEAST = 512; // most lines are shorter
+    private static final int TURN = 16;                      // reads, then the others have theirs
+    private static final int LINE_LEAST = 512;               // most lines are shorter
     private static final int LINE_MOST = 1 << 20;            // the protocol's limit
     private static final int STRANGERS_LINE_MOST = 16 << 10; // a first message has about 100 bytes
-    private static final int UNSENT_MOST = 128 << 10; // what a peer may leave unread before it is let go
+    private static final int UNSENT_MOST = 128 << 10;        // what a peer may leave unread before it is let go
 
     private final StreamServer server;
     private byte[] line = new byte[LINE_LEAST];
@@ -93,7 +95,7 @@
     public void onFillable() {
         try {
             ByteBuffer read = READ.get();
-            while (true) {
+            for (int i = 0; i < TURN; i++) {
                 BufferUtil.clear(read); // filling adds at its limit
                 int got = getEndPoint().fill(read);
                 if (got < 0) {
@@ -101,14 +103,14 @@
                     return;
                 }
                 if (got == 0) {
-                    fillInterested();
-                    return;
+                    break;
                 }
                 heardAt = System.nanoTime();
                 if (!take(read.array(), read.arrayOffset() + read.position(), got)) {
                     return;
                 }
             }
+            fillInterested();
         } catch (java.io.IOException e) {
             end("was reset", false);
         } catch (RuntimeException e) { // no fault in one connection's handling reaches another
@@ -133,7 +135,10 @@
     }
 
     /** Takes bytes in; false once the connection is done with. */
-    private boolean take(byte[] from, int start, int count) {
+    private synchronized boolean take(byte[] from, int start, int count) {
+        if (ending) {
+            return false;
+        }
         int most = stage == Stage.STRANGER ? STRANGERS_LINE_MOST : LINE_MOST;
         for (int at = start, end = start + count; at < end; ) {
             int lf = at;
@@ -169,14 +174,14 @@
         return true;
     }
 
-    private void letLineGo() {
+    private synchronized void letLineGo() {
         if (line.length > LINE_LEAST) {
             server.mayHold(LINE_LEAST - line.length);
             line = new byte[LINE_LEAST];
         }
     }
 
-    private synchronized boolean took(Decoded<Arrival> decoded) {
+    private boolean took(Decoded<Arrival> decoded) {
         if (decoded.value() == null) {
             return end("sends what can't be read, " + decoded.fault(), true);
         }
@@ -276,10 +281,11 @@
             case COLLECTOR -> "collector";
             case STRANGER -> "stranger";
         };
+        who += " at " + getEndPoint().getRemoteSocketAddress();
         if (ours) {
-            server.log.warn("stream", who + " at " + getEndPoint().getRemoteSocketAddress() + " " + why + ": closed");
+            server.log.warn("stream", who + " " + why + ": closed");
         } else if (stage != Stage.STRANGER) {
-            server.log.info("stream", who + " at " + getEndPoint().getRemoteSocketAddress() + ": " + why);
+            server.log.info("stream", who + ": " + why);
         }
         getEndPoint().close();
         return false;
--- a/src/test/java/linenring/streams/StreamServerTest.java
+++ b/src/test/java/linenring/streams/StreamServerTest.java
@@ -11,6 +11,7 @@
 import java.net.InetSocketAddress;
 import java.net.Socket;
 import java.nio.charset.StandardCharsets;
+import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
 import linenring.exchange.Exchange;
@@ -47,6 +48,7 @@
     /** A peer in memory: what it is sent at once may be limited, as by one that does not read. */
     private static final class Peer extends ByteArrayEndPoint {
         final PeerConnection connection;
+        ArrayDeque<Runnable> later; // what is ready, where a story has it wait
 
         Peer(StreamServer server, int unreadMost) {
             super(null, 0, new byte[0], unreadMost);
@@ -58,7 +60,11 @@
 
         @Override
         protected void execute(Runnable task) {
-            task.run();
+            if (later == null) {
+                task.run();
+            } else {
+                later.add(task);
+            }
         }
 
         Peer says(String text) {
@@ -144,6 +150,22 @@
         assertFalse(peer().says("z".repeat(20_000)).isOpen()); // strangers get no such room
     }
 
+    @Test
+    void aPeerThatSendsWithoutEndLeavesTheOthersTheirTurn() {
+        Peer peer = peer().says(JOIN);
+        came();
+        peer.later = new ArrayDeque<>();
+        peer.says("{\"@type\":\"RATE\",\"id\":3,\"lane\":\"lookup\",\"count\":4,\"over\":500}\n".repeat(18_000));
+        int all = 0;
+        while (!peer.later.isEmpty()) {
+            peer.later.poll().run();
+            int read = came().size();
+            assertTrue(read < 9000, read + " lines in one turn");
+            all += read;
+        }
+        assertEquals(18_000, all);
+    }
+
     @Test
     void longLinesThatManyBeginAreBoundedTogetherAndGivenBack() {
         String half = "x".repeat(1_000_000);
