--- a/src/main/java/linenring/Main.java
+++ b/src/main/java/linenring/Main.java
@@ -5,8 +5,8 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.lang.management.ManagementFactory;
-import linenring.configuration.Configuration;
-import linenring.configuration.ConfigurationReader;
+import linenring.configuration.Assignment;
+import linenring.configuration.AssignmentReader;
 import linenring.discovery.HostWatch;
 import linenring.exchange.Exchange;
 import linenring.log.Log;
@@ -42,8 +42,8 @@
 
     /** Serves until the process is told to end; returns the exit code where it can't. */
     private static int serve() {
-        Configuration.Outcome read = ConfigurationReader.read(System.getenv());
-        Configuration told = read.configuration();
+        Assignment.Outcome read = AssignmentReader.read(System.getenv());
+        Assignment told = read.assignment();
         if (told == null) {
             System.err.println("linenring: " + read.fault());
             return 3;
--- a/src/main/java/linenring/configuration/ConfigurationReader.java
+++ b/src/main/java/linenring/configuration/AssignmentReader.java
@@ -11,7 +11,7 @@
 import java.nio.file.Path;
 import java.util.Map;
 import java.util.TreeMap;
-import linenring.configuration.Configuration.Outcome;
+import linenring.configuration.Assignment.Outcome;
 import linenring.figures.Lookup;
 import linenring.figures.Names;
 import linenring.figures.StartReader;
@@ -23,11 +23,11 @@
  * The one place where configuration is read, checked and given defaults. The file that {@code GW_CONFIG} names
  * has all of it; {@code GW_NAME}, {@code GW_LISTEN} and {@code GW_DISCOVERY} go before what the file says.
  */
-public final class ConfigurationReader {
+public final class AssignmentReader {
     private static final int SOCKETS = 1024;      // where no limit is told: the usual limit of a process
     private static final int SOCKETS_LEAST = 48;  // the process itself needs about 20
 
-    private ConfigurationReader() {
+    private AssignmentReader() {
     }
 
     /** Stops at {@link #read}. */
@@ -39,7 +39,7 @@
         }
     }
 
-    /** Nested JSON as paths: names joined by dots, lists of objects with .count and numbers, plain lists by commas. */
+    /** Nested JSON as paths: names joined by dots, lists of objects numbered and counted, plain ones by commas. */
     private static final class Flat extends Lookup {
         final Map<String, String> values = new TreeMap<>();
         private final String within;
@@ -136,7 +136,7 @@
         }
     }
 
-    private static Configuration check(Map<String, String> environment, Flat all, Flat settings, byte[] known) {
+    private static Assignment check(Map<String, String> environment, Flat all, Flat settings, byte[] known) {
         preferred(environment, "GW_NAME", all, "name");
         String listen = preferred(environment, "GW_LISTEN", all, "listen");
         String discovery = preferred(environment, "GW_DISCOVERY", all, "discovery");
@@ -156,7 +156,7 @@
             }
             list = decoded.value();
         }
-        return new Configuration(all.find("name"), address(listen, all.find("listen")),
+        return new Assignment(all.find("name"), address(listen, all.find("listen")),
                 address(discovery, all.find("discovery")), sockets, StartReader.read(settings), names, list);
     }
 
@@ -177,7 +177,7 @@
             int port = Integer.parseInt(value.substring(colon + 1));
             String host = value.substring(0, Math.max(0, colon));
             if (host.matches("[0-9.]+|\\[[0-9a-fA-F:.]+]") && port > 0 && port < 65536) {
-                return new InetSocketAddress(InetAddress.getByName(host), port); // figures alone: nothing is looked up
+                return new InetSocketAddress(InetAddress.getByName(host), port); // figures: nothing is looked up
             }
         } catch (NumberFormatException | java.net.UnknownHostException e) {
             // told below, as for what is no address
--- a/src/test/java/linenring/configuration/ConfigurationReaderTest.java
+++ b/src/test/java/linenring/configuration/AssignmentReaderTest.java
@@ -9,7 +9,7 @@
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
-class ConfigurationReaderTest {
+class AssignmentReaderTest {
     private static final String GOOD = """
             {"name":"n3","listen":"127.0.0.4:3000","discovery":"127.0.0.1:8500","seed":"8c1f","extra":{"a":[{"b":1}]},
              "limits":{"cores":1.0,"memory_mb":192,"sockets":1024},"peers":["10.3.0.1:7946"],
@@ -20,13 +20,13 @@
               "Specifics":{"ProxyCount":6,"PushRate":1200.0,"MostWaiting":1800.0,"UpdateCap":30,"HomeOnly":[false,true],
                "ThrottleBy":"fraction"}}}""";
 
-    private static Configuration.Outcome read(String text) {
-        return ConfigurationReader.read(Map.of(), text.getBytes(StandardCharsets.UTF_8));
+    private static Assignment.Outcome read(String text) {
+        return AssignmentReader.read(Map.of(), text.getBytes(StandardCharsets.UTF_8));
     }
 
     @Test
     void nestedSettingsBecomeTheSameFiguresInMilliseconds() {
-        Configuration c = read(GOOD).configuration();
+        Assignment c = read(GOOD).assignment();
         assertEquals(750, c.figures().operations().get(0).objective());
         assertEquals(2, c.figures().operations().get(0).zones()); // the second zone alone
         assertEquals(-1, c.figures().operations().get(1).zones());
@@ -40,11 +40,11 @@
 
     @Test
     void theEnvironmentGoesBeforeTheFile() {
-        Configuration c = ConfigurationReader.read(Map.of("GW_LISTEN", "127.0.0.9:4000"),
-                GOOD.getBytes(StandardCharsets.UTF_8)).configuration();
+        Assignment c = AssignmentReader.read(Map.of("GW_LISTEN", "127.0.0.9:4000"),
+                GOOD.getBytes(StandardCharsets.UTF_8)).assignment();
         assertEquals(4000, c.listen().getPort());
         assertEquals(8500, c.discovery().getPort());
-        assertTrue(ConfigurationReader.read(Map.of("GW_LISTEN", "here"), GOOD.getBytes(StandardCharsets.UTF_8)).fault()
+        assertTrue(AssignmentReader.read(Map.of("GW_LISTEN", "here"), GOOD.getBytes(StandardCharsets.UTF_8)).fault()
                 .startsWith("GW_LISTEN:"));
     }
 
@@ -71,15 +71,15 @@
 
     @Test
     void aFileThatIsMissingOrNoJsonIsToldInOneLine() {
-        assertEquals("GW_CONFIG is missing", ConfigurationReader.read(Map.of()).fault());
+        assertEquals("GW_CONFIG is missing", AssignmentReader.read(Map.of()).fault());
         assertEquals("GW_CONFIG: cannot read /nowhere/at/all",
-                ConfigurationReader.read(Map.of("GW_CONFIG", "/nowhere/at/all")).fault());
+                AssignmentReader.read(Map.of("GW_CONFIG", "/nowhere/at/all")).fault());
         assertEquals("GW_CONFIG: the file is not JSON", read("{\"name\":").fault());
         assertEquals("GW_CONFIG: the file holds no JSON object", read("[]").fault());
     }
 
     @Test
     void withoutAKnownListNoneIsHeld() {
-        assertEquals(null, read(GOOD.replace("\"known\"", "\"unknown\"")).configuration().known());
+        assertEquals(null, read(GOOD.replace("\"known\"", "\"unknown\"")).assignment().known());
     }
 }
