SIGHUP reads the configuration again and the watch moves to the discovery it names

Checked: Main had none; HostWatch had one fixed address and would have dialled the old one for good; GW_DISCOVERY went before the file, so that a reload would have read the stale address again. At fault: Main.serve, HostWatch's final 'at', AssignmentReader's order of preference. Now: the handler is installed before the port is open; AssignmentReader takes the file's discovery before the environment's; HostWatch keeps a serving and a next source, takes over with the first line from the new one, list and version go along; a list older than the one held changes nothing; fixed keys that differ are named in one line.

--- a/src/main/java/linenring/Main.java
+++ b/src/main/java/linenring/Main.java
@@ -5,6 +5,7 @@
 import java.io.IOException;
 import java.io.PrintStream;
 import java.lang.management.ManagementFactory;
+import java.util.List;
 import linenring.configuration.Assignment;
 import linenring.configuration.AssignmentReader;
 import linenring.discovery.HostWatch;
@@ -16,6 +17,7 @@
 import linenring.wirehost.WireHost;
 import org.eclipse.jetty.util.thread.QueuedThreadPool;
 import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import sun.misc.Signal;
 
 /** The command line: one subcommand for each way the decisions are reached. */
 public final class Main {
@@ -59,6 +61,9 @@
         try {
             threads.start();
             scheduler.start();
+            HostWatch watch = new HostWatch(told.discovery(), told.known(), codec, exchange, log, threads, scheduler);
+            watch.open();
+            onHangUp(() -> reload(told, AssignmentReader.read(System.getenv()), watch, log)); // before the first PONG
             StreamServer.Opened opened = StreamServer.open(told.listen(), told.sockets(), codec, exchange, log,
                     threads, scheduler);
             if (opened.server() == null) {
@@ -66,7 +71,6 @@
                         + opened.reached().name().toLowerCase(java.util.Locale.ROOT) + ": " + opened.fault());
                 return 4;
             }
-            new HostWatch(told.discovery(), told.known(), codec, exchange, log, threads, scheduler).open();
         } catch (Exception e) { // Jetty's start() may throw any
             System.err.println("linenring: cannot start: " + e);
             return 4;
@@ -77,4 +81,26 @@
         steward.run();
         return 0;
     }
+
+    /** Does this at each SIGHUP, which otherwise ends the process; one at a time. */
+    static void onHangUp(Runnable what) {
+        Object turn = new Object();
+        Signal.handle(new Signal("HUP"), signal -> {
+            synchronized (turn) {
+                what.run();
+            }
+        });
+    }
+
+    /** Goes on with what is new in the configuration, or with the old one where it is at fault. */
+    static void reload(Assignment held, Assignment.Outcome read, HostWatch watch, Log log) {
+        if (read.assignment() == null) {
+            log.warn("reload", "goes on as before: " + read.fault());
+            return;
+        }
+        List<String> fixed = held.fixedKeysThatDiffer(read.assignment());
+        log.info("reload", "the configuration is read again" + (fixed.isEmpty() ? ""
+                : "; what can't change while it runs stays: " + String.join(", ", fixed)));
+        watch.moveTo(read.assignment().discovery());
+    }
 }
--- a/src/main/java/linenring/configuration/AssignmentReader.java
+++ b/src/main/java/linenring/configuration/AssignmentReader.java
@@ -21,7 +21,8 @@
 
 /**
  * The one place where configuration is read, checked and given defaults. The file that {@code GW_CONFIG} names
- * has all of it; {@code GW_NAME}, {@code GW_LISTEN} and {@code GW_DISCOVERY} go before what the file says.
+ * has all of it; {@code GW_NAME} and {@code GW_LISTEN} go before what the file says. {@code GW_DISCOVERY} only counts
+ * where the file names none: the environment stays as it was at the start, and the file is replaced while we run.
  */
 public final class AssignmentReader {
     private static final int SOCKETS = 1024;      // where no limit is told: the usual limit of a process
@@ -139,7 +140,8 @@
     private static Assignment check(Map<String, String> environment, Flat all, Flat settings, byte[] known) {
         preferred(environment, "GW_NAME", all, "name");
         String listen = preferred(environment, "GW_LISTEN", all, "listen");
-        String discovery = preferred(environment, "GW_DISCOVERY", all, "discovery");
+        String discovery = all.find("discovery") != null ? "discovery"
+                : preferred(environment, "GW_DISCOVERY", all, "discovery");
         if (settings.values.isEmpty()) {
             throw new BadKey("settings", "is missing");
         }
--- a/src/main/java/linenring/discovery/AgentConnection.java
+++ b/src/main/java/linenring/discovery/AgentConnection.java
@@ -32,7 +32,8 @@
     private static final long SILENT_MS = 2500;   // a blank line is due every 2 s, and half a second is for its way
 
     private final HostWatch watch;
-    private final String authority, target;
+    private final HostWatch.Source source;
+    private final String target;
     private final boolean once;
     private final HttpParser parser = new HttpParser(this);
     private final ByteBuffer read = BufferUtil.allocate(READ);
@@ -42,11 +43,11 @@
     private String broken;
     private boolean complete, ended;
 
-    AgentConnection(EndPoint endPoint, Executor executor, HostWatch watch, String authority, String target,
-            boolean once) {
+    AgentConnection(EndPoint endPoint, Executor executor, HostWatch watch, HostWatch.Source source,
+            String target, boolean once) {
         super(endPoint, executor);
         this.watch = watch;
-        this.authority = authority;
+        this.source = source;
         this.target = target;
         this.once = once;
         endPoint.setIdleTimeout(SILENT_MS);
@@ -60,9 +61,13 @@
     @Override
     public void onOpen() {
         super.onOpen();
+        if (!watch.opened(source, this)) {
+            getEndPoint().close();
+            return;
+        }
         try {
             MetaData.Request request = new MetaData.Request("GET", HttpURI.from(target),
-                    HttpVersion.HTTP_1_1, HttpFields.build().add(HttpHeader.HOST, authority)
+                    HttpVersion.HTTP_1_1, HttpFields.build().add(HttpHeader.HOST, source.toString())
                     .add(HttpHeader.ACCEPT, "application/json"), 0);
             HttpGenerator generator = new HttpGenerator();
             ByteBuffer header = BufferUtil.allocate(REQUEST_MOST);
@@ -137,9 +142,9 @@
         ended = true;
         getEndPoint().close();
         if (once && complete && broken == null && reached == Reached.TOLD) {
-            watch.listedWhole();
+            watch.listedWhole(source);
         } else {
-            watch.ended(new Ended(reached, why));
+            watch.ended(source, new Ended(reached, why));
         }
     }
 
@@ -183,12 +188,17 @@
     private void lineEnds() {
         int whole = length;
         length = 0;
+        if (!watch.speaks(source)) {
+            broken = "discovery has moved on";
+            return;
+        }
         boolean blank = true;
         for (int i = 0; i < whole && blank; i++) {
             blank = line[i] == ' ' || line[i] == '\r' || line[i] == '\t';
         }
         if (blank) {
-            return; // a sign of life
+            reached = Reached.TOLD; // that nothing has changed
+            return;
         }
         Decoded<HostList> list = watch.codec.hostList(line, whole);
         if (list.value() == null) {
--- a/src/test/java/linenring/configuration/AssignmentReaderTest.java
+++ b/src/test/java/linenring/configuration/AssignmentReaderTest.java
@@ -4,6 +4,7 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.nio.charset.StandardCharsets;
+import java.util.List;
 import java.util.Map;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
@@ -38,6 +39,23 @@
         assertEquals("/127.0.0.4:3000", c.listen().toString());
     }
 
+    @Test
+    void theFilesDiscoveryGoesBeforeTheEnvironmentsWhichIsThatOfTheStart() {
+        Map<String, String> stale = Map.of("GW_DISCOVERY", "127.0.0.1:8600");
+        assertEquals(8500, AssignmentReader.read(stale, GOOD.getBytes(StandardCharsets.UTF_8)).assignment().discovery().getPort());
+        String none = GOOD.replace("\"discovery\"", "\"was\"");
+        assertEquals(8600, AssignmentReader.read(stale, none.getBytes(StandardCharsets.UTF_8)).assignment().discovery().getPort());
+    }
+
+    @Test
+    void keysThatCannotChangeWhileItRunsAreNamed() {
+        Assignment held = read(GOOD).assignment();
+        assertEquals(List.of(), held.fixedKeysThatDiffer(read(GOOD.replace("127.0.0.1:8500", "127.0.0.1:9")
+                .replace("\"seed\":\"8c1f\"", "\"seed\":\"9\"").replace("\"version\":41", "\"version\":50")).assignment()));
+        assertEquals(List.of("name", "listen", "limits.sockets", "settings"), held.fixedKeysThatDiffer(read(GOOD
+                .replace("n3", "n4").replace(":3000", ":3001").replace("1024", "512").replace("1800.0", "900")).assignment()));
+    }
+
     @Test
     void theEnvironmentGoesBeforeTheFile() {
         Assignment c = AssignmentReader.read(Map.of("GW_LISTEN", "127.0.0.9:4000"),
--- a/src/test/java/linenring/discovery/HostWatchTest.java
+++ b/src/test/java/linenring/discovery/HostWatchTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.BufferedReader;
@@ -12,6 +13,7 @@
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
+import java.net.SocketTimeoutException;
 import java.nio.charset.StandardCharsets;
 import java.util.ArrayList;
 import java.util.List;
@@ -51,7 +53,7 @@
         Agent(HostWatch watch, String target, boolean once) {
             super(new Waits(), 0);
             setGrowOutput(true);
-            connection = new AgentConnection(this, Runnable::run, watch, "127.0.0.1:8500", target, once);
+            connection = new AgentConnection(this, Runnable::run, watch, watch.serving(), target, once);
             setConnection(connection);
             connection.onOpen();
         }
@@ -125,8 +127,10 @@
     void aWholeListWhereChangesWereDueIsTakenAndAnOldChangeIsNot() {
         HostWatch watch = watch(41);
         Agent agent = new Agent(watch, "/", false);
-        agent.addInput(OK + chunk(list(30, true, "Ready")) + chunk(list(30, false, "Gone")) + chunk(list(31, false, "Gone")));
-        assertEquals(List.of(30L, 31L), versions());
+        agent.addInput(OK + chunk(list(44, true, "Ready")) + chunk(list(44, false, "Gone")) + chunk(list(45, false, "Gone"))
+                + chunk(list(43, true, "Gone")));
+        assertEquals(List.of(44L, 45L), versions());
+        assertTrue(logged.toString().contains("version 43, which is older than 45 and changes nothing"));
     }
 
     @Test
@@ -159,16 +163,68 @@
         assertTrue(lines.get(4).contains("can't be read, fields: field servers is missing"), lines.get(4));
     }
 
+    /** Moves there and back at once, then to an address where nobody answers, then to one that tells something. */
+    @Test
+    void whereDiscoveryMovesTheOldAddressServesUntilTheNewOneHasTold() throws Exception {
+        QueuedThreadPool threads = new QueuedThreadPool(8, 2);
+        ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler();
+        threads.start();
+        scheduler.start();
+        try (ServerSocket old = agent(); ServerSocket mute = agent(); ServerSocket now = agent()) {
+            HostWatch watch = new HostWatch(at(old), new HostList(41, true, List.of()), codec, exchange, log, threads, scheduler);
+            watch.open();
+            try (Socket served = asked(old, "GET /catalog/members?watch=1&from=41 HTTP/1.1")) {
+                say(served, OK + chunk(list(42, false, "Ready")));
+                until(42);
+                watch.moveTo(at(mute));
+                watch.moveTo(at(old)); // given up at once
+                watch.moveTo(at(mute));
+                say(served, chunk(list(43, false, "Ready"))); // not a word from there: the old one serves
+                until(43);
+                watch.moveTo(at(now));
+                watch.moveTo(at(now)); // once more changes nothing
+                try (Socket moved = asked(now, "GET /catalog/members?watch=1&from=43 HTTP/1.1")) {
+                    say(moved, OK + chunk("\n"));
+                    assertEquals(-1, served.getInputStream().read()); // now it is let go
+                    say(moved, chunk(list(40, true, "Gone")) + chunk(list(43, false, "Gone")) + chunk(list(44, false, "Gone")));
+                    until(44); // what is stale was passed over, and the version went along
+                }
+                try (Socket again = asked(now, "GET /catalog/members?watch=1&from=44 HTTP/1.1")) {
+                    assertTrue(again.isConnected());
+                }
+            }
+            old.setSoTimeout(1);
+            assertThrows(SocketTimeoutException.class, old::accept); // nobody dials there any more
+            watch.stop();
+        } finally {
+            threads.stop();
+            scheduler.stop();
+        }
+    }
+
+    private static ServerSocket agent() throws Exception {
+        ServerSocket agent = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
+        agent.setSoTimeout(20_000);
+        return agent;
+    }
+
+    private static InetSocketAddress at(ServerSocket agent) {
+        return new InetSocketAddress(agent.getInetAddress(), agent.getLocalPort());
+    }
+
+    private void until(long version) throws Exception {
+        assertTrue(exchange.await(TimeUnit.SECONDS.toNanos(20)));
+        assertEquals(List.of(version), versions());
+    }
+
     @Test
     void withNoListItAsksForTheWholeThenWatchesAndAfterABreakGoesOnFromThere() throws Exception {
         QueuedThreadPool threads = new QueuedThreadPool(8, 2);
         ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler();
         threads.start();
         scheduler.start();
-        try (ServerSocket agent = new ServerSocket(0, 5, InetAddress.getLoopbackAddress())) {
-            agent.setSoTimeout(20_000);
-            HostWatch watch = new HostWatch(new InetSocketAddress(agent.getInetAddress(), agent.getLocalPort()), null, codec,
-                    exchange, log, threads, scheduler);
+        try (ServerSocket agent = agent()) {
+            HostWatch watch = new HostWatch(at(agent), null, codec, exchange, log, threads, scheduler);
             watch.open();
             String body = list(7, true, "Ready");
             answer(agent, "GET /catalog/members HTTP/1.1", "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
@@ -183,13 +239,23 @@
     }
 
     private static void answer(ServerSocket agent, String request, String answer) throws Exception {
-        try (Socket socket = agent.accept()) {
-            BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
-            assertEquals(request, in.readLine());
-            while (!in.readLine().isEmpty()) {
-                // headers
-            }
-            socket.getOutputStream().write(answer.getBytes(StandardCharsets.US_ASCII));
+        try (Socket socket = asked(agent, request)) {
+            say(socket, answer);
+        }
+    }
+
+    private static Socket asked(ServerSocket agent, String request) throws Exception {
+        Socket socket = agent.accept();
+        socket.setSoTimeout(20_000);
+        BufferedReader in = new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
+        assertEquals(request, in.readLine());
+        while (!in.readLine().isEmpty()) {
+            // headers
         }
+        return socket;
+    }
+
+    private static void say(Socket socket, String words) throws Exception {
+        socket.getOutputStream().write(words.getBytes(StandardCharsets.US_ASCII));
     }
 }
