A host that started since the first list is not on trial, though it is warm when listed

So the guard against hosts that a wrong list invents (Balance.running) took each new host for one: first met in a change and warm by its start time. Ruled out: clock and decoding of started_ms; CPU (at its limit only for 3 s after each start). Now: only a host that started over 20 s before the first list came, and was not in it, is on trial. Test: aHostThatIsWarmBeforeTheListTellsOfIt... fails without it.

--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -86,7 +86,7 @@
     private final List<Zone> zones = Stream.generate(Zone::new).limit(Long.SIZE).toList(); // a mask's
     private final double[][] metBy = new double[Long.SIZE][3]; // sums of the warm hosts that are in, by kind
     private final List<BooleanSupplier> rules;
-    private double now, sentAt = -1e9, fadedAt, roundTrip, alarmAt = -1, askAt, stormUntil = -1;
+    private double now, sentAt = -1e9, fadedAt, roundTrip, alarmAt = -1, askAt, stormUntil = -1, metAt;
     private boolean wholeList, drainsWait, stale = true; // stale: sums or hosts have changed, reckon anew
     private double waiting, reckonedAt, usualLate, mostLate, usualBad, ended, bad, rate;
     private int mark, lastNumber, full; // full: number of full tables, which come before the parts
@@ -159,7 +159,7 @@
     public void clock(double at) {
         now = at;
         if (stormUntil < 0) {
-            stormUntil = now + 4000; // a fresh start knows nothing: by then the first sums have come
+            stormUntil = (metAt = now) + 4000; // a fresh start knows nothing: by then the first sums have come
         }
         if (now - fadedAt >= 100) { // no finer than the alarms
             double keep = Math.pow(0.5, (now - fadedAt) / 1500);
@@ -201,7 +201,7 @@
         h.started = started;
         h.running = true;
         h.told = false;
-        if (unmet && isWarm(h)) { // guards against listed hosts that do not exist
+        if (unmet && isWarm(h) && started < metAt - 20_000) { // such hosts may not exist; 20 s: lists are late
             startTrial(h, 0.15);
             h.strikes = 3; // 10 s, then 15 s out
         }
--- a/src/test/java/linenring/plan/BalanceTest.java
+++ b/src/test/java/linenring/plan/BalanceTest.java
@@ -75,6 +75,18 @@
         assertEquals(1, f.weight(0, 0));
     }
 
+    @Test
+    void aHostThatIsWarmBeforeTheListTellsOfItGetsItsFullWeightAndOneThatShouldHaveBeenListedIsTriedFirst() {
+        FakeHost f = new FakeHost(figures(0)).fleet(6, 2);
+        f.balance.listOpens(false);
+        f.balance.running(6, 0, 0, 1, f.now - 10_001); // warm after 10 s, and started after the first list
+        f.balance.running(7, 1, 0, 1, Double.NEGATIVE_INFINITY);
+        f.balance.listCloses();
+        f.settle();
+        assertEquals(1, f.weight(0, 6));
+        assertEquals(0.15, f.weight(0, 7));
+    }
+
     @Test
     void aHostThatRestartsUnseenLosesItsFullWeightAtOnce() {
         FakeHost f = new FakeHost(figures(0)).fleet(6, 2);
