Spoilt messages are dropped alone, unreadable text closes at once, strangers have one second

Checked: PeerConnection.took ended the connection for every fault; judge() counted a stranger's silence from the last word; an answer to a mark that was never sent, with any time, reached the round trip; usage of another proxy's id counted. Now: Codec reads a message to its end and then tells the first bad field; LOAD and RATE need their span, figures are bounded; a line must begin with '{' and hold no control bytes, else it is closed without waiting for its end; a joined peer's spoilt message is one bounded log line; marks are kept by stream, an answer frees those before it; a begun message has 3 s; strangers go 1 s after they connect, log under their own subject, and the newest 100 ms make no room for others.

--- a/src/main/java/linenring/message/Arrival.java
+++ b/src/main/java/linenring/message/Arrival.java
@@ -14,8 +14,8 @@
     /** The proxy has applied all orders up to the mark. */
     record Applied(int proxy, int mark, double tookMs) implements Arrival { }
 
-    /** What the proxies of a zone met at a host. */
-    record HostSums(String host, int zone, int total, int bad, double meanMs) implements Arrival { }
+    /** What the proxies of a zone met at a host, summed up over so long. */
+    record HostSums(String host, int zone, int total, int bad, double meanMs, double spanMs) implements Arrival { }
 
     /** What a proxy was asked of one operation. */
     record Usage(int proxy, int operation, int total, double spanMs) implements Arrival { }
--- a/src/main/java/linenring/message/Codec.java
+++ b/src/main/java/linenring/message/Codec.java
@@ -4,6 +4,7 @@
 import com.fasterxml.jackson.core.JsonGenerator;
 import com.fasterxml.jackson.core.JsonParser;
 import com.fasterxml.jackson.core.JsonToken;
+import com.fasterxml.jackson.core.json.JsonReadFeature;
 import java.io.ByteArrayOutputStream;
 import java.io.IOException;
 import java.nio.charset.StandardCharsets;
@@ -17,7 +18,11 @@
     /** The answer to a ping. */
     private static final byte[] PONG = "{\"@type\":\"PONG\"}\n".getBytes(StandardCharsets.US_ASCII);
 
-    private final JsonFactory json = new JsonFactory();
+    private static final double LONGEST_MS = 3_600_000; // no time that a message tells of is longer
+    private static final int COUNT_MOST = 1_000_000;    // nor is more counted in one
+
+    private final JsonFactory json = JsonFactory.builder()
+            .enable(JsonReadFeature.ALLOW_NON_NUMERIC_NUMBERS).build(); // out of range, and no reason to stop reading
     private final Names names;
 
     public Codec(Names names) {
@@ -48,14 +53,23 @@
             if (in.nextToken() != JsonToken.START_OBJECT) {
                 return Decoded.fault(Reached.TEXT, "not a JSON object");
             }
+            BadField first = null; // the rest is read all the same: only what is JSON to its end is a message
             while (in.nextToken() != JsonToken.END_OBJECT) {
                 String name = in.currentName();
                 in.nextToken();
-                field(f, name, in);
+                try {
+                    field(f, name, in);
+                } catch (BadField e) {
+                    first = first == null ? e : first;
+                    in.skipChildren();
+                }
             }
             if (in.nextToken() != null) {
                 return Decoded.fault(Reached.TEXT, "more than one JSON object on a line");
             }
+            if (first != null) {
+                return Decoded.fault(Reached.FIELDS, first.getMessage());
+            }
             if (f.type == null) {
                 return Decoded.fault(Reached.KIND, "field @type is missing");
             }
@@ -92,18 +106,21 @@
         return switch (f.type) {
             case "PING" -> new Arrival.Ping();
             case "SOURCE" -> new Arrival.Collector(zone(f.site));
-            case "SUBSCRIBE" -> new Arrival.Joining(proxy(f.id), zone(f.site), atLeast0("rps", f.rps, null),
+            case "SUBSCRIBE" -> new Arrival.Joining(proxy(f.id), zone(f.site), from0("rps", f.rps, COUNT_MOST),
                     present("new", f.fresh));
-            case "ACK" -> new Arrival.Applied(proxy(f.id), whole("seq", f.seq, 65535),
-                    atLeast0("ms", f.ms, null));
+            case "ACK" -> new Arrival.Applied(proxy(f.id), whole("seq", f.seq, 65535), time("ms", f.ms));
             case "LOAD" -> {
-                int count = whole("count", f.count, Integer.MAX_VALUE);
+                int count = whole("count", f.count, COUNT_MOST);
                 int fail = whole("fail", f.fail, count);
+                Double mean = fail == count && f.mean == null ? Double.valueOf(0) : f.mean; // there is none of none
                 yield new Arrival.HostSums(present("target", f.target), zone(f.site), count, fail,
-                        atLeast0("mean", f.mean, fail == count ? 0.0 : null)); // there is none of none
+                        time("mean", mean), span(f.over));
+            }
+            case "RATE" -> {
+                int count = whole("count", f.count, COUNT_MOST);
+                whole("fail", f.fail, COUNT_MOST); // those that came in an earlier span may be among them
+                yield new Arrival.Usage(proxy(f.id), place("lane", names.operations(), f.lane), count, span(f.over));
             }
-            case "RATE" -> new Arrival.Usage(proxy(f.id), place("lane", names.operations(), f.lane),
-                    whole("count", f.count, Integer.MAX_VALUE), atLeast0("over", f.over, null));
             default -> null;
         };
     }
@@ -139,14 +156,25 @@
         return (int) v;
     }
 
-    private static double atLeast0(String field, Double value, Double absent) throws BadField {
-        double v = present(field, value == null ? absent : value);
-        if (!(v >= 0) || Double.isInfinite(v)) {
+    private static double from0(String field, Double value, double most) throws BadField {
+        double v = present(field, value);
+        if (!(v >= 0 && v <= most)) {
             throw new BadField("field " + field + ": " + v + " is out of range");
         }
         return v;
     }
 
+    private static double time(String field, Double value) throws BadField {
+        return from0(field, value, LONGEST_MS);
+    }
+
+    private static double span(Double over) throws BadField {
+        if (time("over", over) == 0) {
+            throw new BadField("field over: nothing is counted over no time");
+        }
+        return over;
+    }
+
     private static String word(String field, JsonParser in) throws IOException, BadField {
         if (in.currentToken() != JsonToken.VALUE_STRING) {
             throw new BadField("field " + field + " is not text");
@@ -202,7 +230,7 @@
                     default -> in.skipChildren();
                 }
             }
-            return Decoded.of(new HostList((long) atLeast0("version", version, null),
+            return Decoded.of(new HostList((long) from0("version", version, Long.MAX_VALUE),
                     present("full", whole), present("servers", entries)));
         } catch (BadField e) {
             return Decoded.fault(Reached.FIELDS, e.getMessage());
@@ -246,11 +274,11 @@
             default -> throw new BadField("field state: unknown '" + shown(state) + "'");
         };
         boolean gone = is == HostList.State.GONE; // of these no more than the id need be told
-        double at = atLeast0("started_ms", started, 0.0);
+        double at = started == null ? 0 : from0("started_ms", started, Long.MAX_VALUE);
         return new HostList.Entry(present("id", id),
                 gone && zone == null ? 0 : place("zone", names.zones(), zone),
                 gone && kind == null ? 0 : place("kind", names.kinds(), kind),
-                is, atLeast0("weight", weight, 1.0), at == 0 ? Double.NEGATIVE_INFINITY : at);
+                is, weight == null ? 1 : from0("weight", weight, Float.MAX_VALUE), at == 0 ? Double.NEGATIVE_INFINITY : at);
     }
 
     // ---- to proxies
--- a/src/main/java/linenring/streams/PeerConnection.java
+++ b/src/main/java/linenring/streams/PeerConnection.java
@@ -9,6 +9,7 @@
 import linenring.message.Codec;
 import linenring.message.Decoded;
 import linenring.message.Order;
+import linenring.message.Unreadable;
 import org.eclipse.jetty.io.AbstractConnection;
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.BufferUtil;
@@ -29,14 +30,21 @@
     private static final int STRANGERS_LINE_MOST = 16 << 10; // a first message has about 100 bytes
     private static final int UNSENT_MOST = 128 << 10;        // what a peer may leave unread before it is let go
 
+    private static final int MARKS_MOST = 1024;              // unanswered; so many are not sent in half a minute
+    private static final long CLOCKS_NS = 1_000_000_000;     // how far another clock may be off in a time it measures
+
+    /** A mark that was sent, and when. */
+    private record Mark(int mark, long at) { }
+
     private final StreamServer server;
+    private final long openedAt = System.nanoTime();
     private byte[] line = new byte[LINE_LEAST];
     private int length;
+    private long begunAt;            // when the line that is not at its end began
     private volatile Stage stage = Stage.STRANGER;
     private Arrival.Joining joining; // what a proxy said first
-    private volatile long heardAt = System.nanoTime();
-    private long unansweredSince; // 0: no order waits for an answer
-    private int lastMark = -1;
+    private volatile long heardAt = openedAt;
+    private final ArrayDeque<Mark> unanswered = new ArrayDeque<>(); // oldest first
     private volatile boolean ending;
     private boolean silent;
 
@@ -141,10 +149,17 @@
         }
         int most = stage == Stage.STRANGER ? STRANGERS_LINE_MOST : LINE_MOST;
         for (int at = start, end = start + count; at < end; ) {
+            while (length == 0 && at < end && isBlank(from[at])) { // nothing has begun
+                at++;
+            }
             int lf = at;
-            while (lf < end && from[lf] != '\n') {
+            while (lf < end && (from[lf] < 0 || from[lf] >= ' ' || isBlank(from[lf])) && from[lf] != '\n') {
                 lf++;
             }
+            if (at < end && (length == 0 && from[at] != '{' || lf < end && from[lf] != '\n')) {
+                return end("sends what can't be read, text: no line of JSON begins or goes on so", true);
+            }
+            begunAt = length == 0 ? System.nanoTime() : begunAt;
             int more = lf - at;
             if (length + more > most) {
                 return end("sends a line of over " + most + " bytes", true);
@@ -162,7 +177,7 @@
             if (lf < end) {
                 int whole = length;
                 length = 0;
-                if (whole > 0 && !took(server.codec.arrival(line, whole))) {
+                if (!took(server.codec.arrival(line, whole))) {
                     return false;
                 }
                 most = stage == Stage.STRANGER ? STRANGERS_LINE_MOST : LINE_MOST;
@@ -174,6 +189,10 @@
         return true;
     }
 
+    private static boolean isBlank(byte b) {
+        return b == ' ' || b == '\n' || b == '\r' || b == '\t';
+    }
+
     private synchronized void letLineGo() {
         if (line.length > LINE_LEAST) {
             server.mayHold(LINE_LEAST - line.length);
@@ -181,29 +200,29 @@
         }
     }
 
+    /** False once the connection is done with. */
     private boolean took(Decoded<Arrival> decoded) {
-        if (decoded.value() == null) {
-            return end("sends what can't be read, " + decoded.fault(), true);
-        }
+        boolean known = stage != Stage.STRANGER;
         Arrival a = decoded.value();
+        if (a == null) {
+            return known && decoded.fault().reached() != Unreadable.Reached.TEXT
+                    ? spoilt(decoded.fault().toString()) : end("sends what can't be read, " + decoded.fault(), true);
+        }
         if (a instanceof Arrival.Ping) {
             send(Codec.pong());
             return !ending;
         }
-        if (a instanceof Arrival.Joining || a instanceof Arrival.Collector) {
-            if (stage != Stage.STRANGER) {
-                return end("says twice who is there", true);
-            }
-            stage = a instanceof Arrival.Joining ? Stage.PROXY : Stage.COLLECTOR;
-            joining = a instanceof Arrival.Joining j ? j : null;
-        } else if (stage == Stage.STRANGER) {
+        boolean says = a instanceof Arrival.Joining || a instanceof Arrival.Collector;
+        if (!known && !says) {
             return end("sends reports or answers before it says who is there", true);
         }
-        if (a instanceof Arrival.Applied answer) {
-            if (joining == null || answer.proxy() != joining.proxy()) {
-                return end("answers for proxy " + answer.proxy(), true);
-            }
-            unansweredSince = answer.mark() == lastMark ? 0 : heardAt;
+        String wrong = !known ? null : says ? "it has said already who is there" : outOfPlace(a);
+        if (wrong != null) {
+            return spoilt(wrong);
+        }
+        if (!known) {
+            joining = a instanceof Arrival.Joining j ? j : null;
+            stage = joining != null ? Stage.PROXY : Stage.COLLECTOR;
         }
         if (silent) { // it counts as left: it joins again, with what it holds
             silent = false;
@@ -216,13 +235,42 @@
         return true;
     }
 
+    /** What is wrong with it on this connection, or null; an answer frees its mark and those before it. */
+    private String outOfPlace(Arrival a) {
+        if (joining == null) {
+            return a instanceof Arrival.Applied ? "a collector answers no order" : null;
+        } else if (a instanceof Arrival.Applied answer) {
+            Mark open = answer.proxy() != joining.proxy() ? null : unanswered.stream()
+                    .filter(m -> m.mark() == answer.mark()).findFirst().orElse(null);
+            if (open == null) {
+                return "no answer to mark " + answer.mark() + " is due from proxy " + answer.proxy();
+            } else if (answer.tookMs() * 1e6 > System.nanoTime() - open.at() + CLOCKS_NS) {
+                return "field ms: " + answer.tookMs() + " is longer ago than the order";
+            }
+            while (unanswered.poll() != open) {
+                // it is applied too
+            }
+            return null;
+        }
+        return a instanceof Arrival.Usage usage && usage.proxy() == joining.proxy() ? null
+                : "it is not for proxy " + joining.proxy() + " to report";
+    }
+
+    /** Drops one message; those around it count. */
+    private boolean spoilt(String why) {
+        server.log.warn("spoilt", who() + " sends a message that is dropped, " + why);
+        return true;
+    }
+
     @Override
     public void write(Order order) {
         int mark = order.parts().get(order.parts().size() - 1).mark();
         synchronized (this) {
             if (mark != Order.NO_MARK) {
-                lastMark = mark;
-                unansweredSince = unansweredSince == 0 ? System.nanoTime() : unansweredSince;
+                if (unanswered.size() == MARKS_MOST) {
+                    unanswered.poll();
+                }
+                unanswered.add(new Mark(mark, System.nanoTime()));
             }
         }
         send(server.codec.order(order));
@@ -252,16 +300,24 @@
         end(why, false);
     }
 
-    /** Judges its silence: a stranger's since then, and a proxy's while an answer is due. */
+    /** Judges its silence: a stranger's and a begun line's since then, and a proxy's while an answer is due. */
     synchronized void judge(long strangersSince, long silentSince, long deadSince) {
-        long due = unansweredSince;
-        if (stage == Stage.STRANGER && heardAt - strangersSince < 0) {
-            end("says nothing", true);
-        } else if (due != 0 && due - deadSince < 0 && heardAt - deadSince < 0) {
-            end("answers nothing", true);
-        } else if (due != 0 && due - silentSince < 0 && heardAt - silentSince < 0 && !silent) {
-            silent = true;
-            server.exchange.silent(this);
+        if (stage == Stage.STRANGER) {
+            if (openedAt - strangersSince < 0) {
+                end("does not say in time who is there", true);
+            }
+            return;
+        }
+        if (length > 0 && begunAt - silentSince < 0) {
+            end("leaves a message without its end", true);
+        } else if (!unanswered.isEmpty() && heardAt - silentSince < 0) {
+            long due = unanswered.peek().at();
+            if (due - deadSince < 0 && heardAt - deadSince < 0) {
+                end("answers nothing", true);
+            } else if (due - silentSince < 0 && !silent) {
+                silent = true;
+                server.exchange.silent(this);
+            }
         }
     }
 
@@ -269,6 +325,18 @@
         return stage == Stage.STRANGER;
     }
 
+    boolean isOpenSince(long then) {
+        return openedAt - then < 0;
+    }
+
+    private String who() {
+        return switch (stage) {
+            case PROXY -> "proxy " + joining.proxy();
+            case COLLECTOR -> "collector";
+            case STRANGER -> "stranger";
+        } + " at " + getEndPoint().getRemoteSocketAddress();
+    }
+
     boolean end(String why, boolean ours) {
         synchronized (unsent) {
             if (ending) {
@@ -276,16 +344,12 @@
             }
             ending = true;
         }
-        String who = switch (stage) {
-            case PROXY -> "proxy " + joining.proxy();
-            case COLLECTOR -> "collector";
-            case STRANGER -> "stranger";
-        };
-        who += " at " + getEndPoint().getRemoteSocketAddress();
-        if (ours) {
-            server.log.warn("stream", who + " " + why + ": closed");
-        } else if (stage != Stage.STRANGER) {
-            server.log.info("stream", who + ": " + why);
+        if (stage == Stage.STRANGER) { // of whom there may be hundreds: their lines leave room for the others'
+            server.log.info("stranger", who() + " " + why + (ours ? ": closed" : ""));
+        } else if (ours) {
+            server.log.warn("stream", who() + " " + why + ": closed");
+        } else {
+            server.log.info("stream", who() + ": " + why);
         }
         getEndPoint().close();
         return false;
--- a/src/main/java/linenring/streams/StreamServer.java
+++ b/src/main/java/linenring/streams/StreamServer.java
@@ -32,7 +32,10 @@
 
     private static final int BACKLOG = 512;
     private static final int OWN_SOCKETS = 32; // what the process opens besides: files, selectors, discovery, some 20
-    private static final long STRANGER_NS = TimeUnit.SECONDS.toNanos(20); // who dials says who it is at once
+    private static final long STRANGER_NS = TimeUnit.SECONDS.toNanos(1); // who dials says at once who it is
+    /** Who is so new may have said so, and it is not read yet: others make room first. */
+    private static final long NEW_NS = TimeUnit.MILLISECONDS.toNanos(100);
+    private static final int SPARE_SOCKETS = 12; // of our own, that those who are being let go may take
     /** Proxies stand still for 2 s at times; who says nothing for longer while an answer is due counts as left. */
     private static final long SILENT_NS = TimeUnit.SECONDS.toNanos(3);
     private static final long DEAD_NS = TimeUnit.SECONDS.toNanos(60); // past any answer: its socket is freed
@@ -48,6 +51,7 @@
     private ServerSocketChannel channel;
     private long sweptAt = System.nanoTime();
     private int held;
+    private int accepting; // accepted, and not among the connections yet
 
     StreamServer(Executor executor, Scheduler scheduler, int sockets, Codec codec, Exchange exchange,
             Log log) {
@@ -95,6 +99,13 @@
 
     @Override
     protected void accepted(SelectableChannel channel) throws IOException {
+        synchronized (connections) {
+            if (connections.size() + accepting >= most + SPARE_SOCKETS) { // so many at once that none could make room
+                channel.close();
+                return;
+            }
+            accepting++;
+        }
         channel.configureBlocking(false);
         ((SocketChannel) channel).setOption(StandardSocketOptions.TCP_NODELAY, true);
         accept(channel);
@@ -110,19 +121,25 @@
 
     @Override
     public Connection newConnection(SelectableChannel channel, EndPoint endPoint, Object attachment) {
+        synchronized (connections) {
+            accepting--;
+        }
         return new PeerConnection(endPoint, getExecutor(), this);
     }
 
     void opened(PeerConnection connection) {
-        PeerConnection oldest = null;
+        PeerConnection goes = null;
         synchronized (connections) {
             connections.add(connection);
             if (connections.size() > most) { // strangers make room for who may be a proxy
-                oldest = connections.stream().filter(PeerConnection::isStranger).findFirst().orElse(connection);
+                long then = System.nanoTime() - NEW_NS;
+                goes = connections.stream().filter(c -> c.isStranger() && c.isOpenSince(then)).findFirst()
+                        .orElse(connection);
+                connections.remove(goes);
             }
         }
-        if (oldest != null) {
-            oldest.end("makes room, " + most + " connections are open", true);
+        if (goes != null) {
+            goes.end("makes room, " + most + " connections are open", true);
         }
     }
 
@@ -154,8 +171,9 @@
             long now = System.nanoTime();
             boolean stood = now - sweptAt > TimeUnit.MILLISECONDS.toNanos(2 * SWEEP_MS); // what came is not read yet
             sweptAt = now;
-            for (PeerConnection connection : stood ? List.<PeerConnection>of() : all) {
-                connection.judge(now - STRANGER_NS, now - SILENT_NS, now - DEAD_NS);
+            long past = stood ? now - DEAD_NS : now; // then nobody's silence is judged, and strangers have twice the time
+            for (PeerConnection connection : all) {
+                connection.judge(now - (stood ? 2 : 1) * STRANGER_NS, past - SILENT_NS, past - DEAD_NS);
             }
         } finally {
             clock.schedule(this::sweep, SWEEP_MS, TimeUnit.MILLISECONDS);
