routing: an honest reader of tables, tries, budget and pools, without I/O

Need: fronts beside the daemon must pick hosts and repeat attempts by the steward's own tables; nothing in the program read them.

Change: package routing applies orders as a proxy does (whole or partial, levels, further tries, hosts shut out, marks), picks by weight in O(log n), avoids hosts whose own tries errored in a row, runs the tries of one invocation as a state machine (what an attempt's end proves, group and window of fingerprinted ones, a budget over a sliding window) and decides on connections. Host lists keep address and cell.

--- a/src/main/java/linenring/message/Codec.java
+++ b/src/main/java/linenring/message/Codec.java
@@ -252,13 +252,15 @@
     }
 
     private HostList.Entry entry(JsonParser in) throws IOException, BadField {
-        String id = null, zone = null, kind = null, state = null;
-        Double weight = null, started = null;
+        String id = null, zone = null, kind = null, state = null, address = null;
+        Double weight = null, started = null, cell = null;
         while (in.nextToken() != JsonToken.END_OBJECT) {
             String name = in.currentName();
             in.nextToken();
             switch (name) {
                 case "id" -> id = word(name, in);
+                case "addr" -> address = in.currentToken() == JsonToken.VALUE_STRING ? in.getText() : null;
+                case "cell" -> cell = in.currentToken().isNumeric() ? Double.valueOf(in.getDoubleValue()) : null;
                 case "zone" -> zone = word(name, in);
                 case "kind" -> kind = word(name, in);
                 case "state" -> state = word(name, in);
@@ -278,7 +280,8 @@
         return new HostList.Entry(present("id", id),
                 gone && zone == null ? 0 : place("zone", names.zones(), zone),
                 gone && kind == null ? 0 : place("kind", names.kinds(), kind),
-                is, weight == null ? 1 : from0("weight", weight, Float.MAX_VALUE), at == 0 ? Double.NEGATIVE_INFINITY : at);
+                is, weight == null ? 1 : from0("weight", weight, Float.MAX_VALUE), at == 0 ? Double.NEGATIVE_INFINITY : at,
+                address, cell == null || !(cell >= 0) ? -1 : cell.intValue()); // only a front needs these two
     }
 
     // ---- to proxies
--- a/src/test/java/linenring/message/CodecTest.java
+++ b/src/test/java/linenring/message/CodecTest.java
@@ -81,7 +81,8 @@
                 + "\"kind\":\"m2\",\"cell\":3,\"state\":\"Ready\",\"weight\":1.5,\"started_ms\":0},"
                 + "{\"id\":\"s-2\",\"zone\":\"a\",\"kind\":\"m1\",\"state\":\"Terminating\",\"started_ms\":1700000000123}]}");
         assertEquals(new HostList(43, false, List.of(
-                new HostList.Entry("s-1", 1, 1, HostList.State.READY, 1.5, Double.NEGATIVE_INFINITY),
+                new HostList.Entry("s-1", 1, 1, HostList.State.READY, 1.5, Double.NEGATIVE_INFINITY,
+                        "10.0.0.1:1", 3),
                 new HostList.Entry("s-2", 0, 0, HostList.State.TERMINATING, 1, 1700000000123.0))), list);
         assertNull(list("{\"version\":43,\"full\":false,\"servers\":[{\"id\":\"s-1\",\"zone\":\"z\",\"kind\":\"m2\",\"state\":\"Ready\"}]}"));
         assertNull(list("{\"version\":43,\"full\":false}"));
--- /dev/null
+++ b/src/test/java/linenring/routing/Fixture.java
@@ -0,0 +1,64 @@
+package linenring.routing;
+
+import java.util.ArrayList;
+import java.util.Arrays;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+import linenring.message.HostList;
+import linenring.message.Order;
+import linenring.plan.StartFigures.Measure;
+
+/** Hosts s-0, s-1, ... in zones 0 and 1 by turns, three operations, tables as a steward orders them. */
+final class Fixture {
+    static final Terms QUOTE = new Terms("quote", Effect.IDEMPOTENT, Terms.Group.ALL, 0, 750, 2000);
+    static final Terms BOOK = new Terms("book", Effect.FINGERPRINTED, Terms.Group.ZONE, 2500, 1200, 4000);
+    static final Terms ASSIGN = new Terms("assign", Effect.SIDE_EFFECTING, Terms.Group.ALL, 0, 750, 2000);
+    static final List<Terms> ALL = List.of(QUOTE, BOOK, ASSIGN);
+
+    final HostBook hosts = new HostBook();
+    final Tables tables;
+    final Random chance = new Random(7);
+    TryBudget budget = new TryBudget(1, 100, 10_000);
+
+    Fixture(int count) {
+        this(count, Measure.SHARE);
+    }
+
+    Fixture(int count, Measure measure) {
+        List<HostList.Entry> entries = new ArrayList<>();
+        for (int h = 0; h < count; h++) {
+            entries.add(new HostList.Entry("s-" + h, h % 2, 0, HostList.State.READY, 1, 0, "127.0.0.1:" + (1000 + h),
+                    h / 2));
+        }
+        hosts.listed(new HostList(1, true, entries));
+        tables = new Tables(ALL.stream().map(Terms::operation).toList(), hosts, measure, 3, 5000);
+    }
+
+    static Order.Line line(int host, double weight) {
+        return new Order.Line("s-" + host, weight);
+    }
+
+    static Order.Part part(List<String> operations, boolean whole, Order.Level level, Order.Line... lines) {
+        return new Order.Part(operations, whole, Arrays.asList(lines), level, List.of(), List.of(), Order.NO_MARK);
+    }
+
+    static Order shutOut(List<String> out, List<String> back, int mark) {
+        return new Order(List.of(new Order.Part(List.of(), false, List.of(), null, out, back, mark)));
+    }
+
+    Fixture whole(int count, Order.Level level) {
+        Order.Line[] lines = IntStream.range(0, count).mapToObj(h -> line(h, 1)).toArray(Order.Line[]::new);
+        tables.apply(new Order(List.of(part(List.of(), true, level, lines))));
+        return this;
+    }
+
+    Tries tries(Terms terms, boolean marked, double now) {
+        return new Tries(new Tries.Terrain(tables, hosts, budget, 1.2, chance::nextDouble), ALL.indexOf(terms), terms,
+                marked, now);
+    }
+
+    static int sentTo(Tries.Step step) {
+        return step instanceof Tries.Step.Send s ? s.host() : -1;
+    }
+}
