--- a/src/main/java/linenring/routing/Pool.java
+++ b/src/main/java/linenring/routing/Pool.java
@@ -107,14 +107,14 @@
 
     /** The peer has said how many streams it takes. */
     public Follows<C, W> resized(C connection, int streams, double now) {
-        lines.stream().filter(l -> l.connection == connection).forEach(l -> l.most = streams);
+        lines.stream().filter(l -> l.connection.equals(connection)).forEach(l -> l.most = streams);
         return settle(now);
     }
 
     /** A stream of a connection is over. */
     public Follows<C, W> done(C connection, double now) {
         for (Line<C> l : lines) {
-            if (l.connection == connection) {
+            if (l.connection.equals(connection)) {
                 l.running--;
                 l.idleSince = now;
             }
@@ -124,13 +124,13 @@
 
     /** The peer takes nothing new there; what runs goes on. */
     public Follows<C, W> goingAway(C connection, double now) {
-        lines.stream().filter(l -> l.connection == connection).forEach(l -> l.leaving = true);
+        lines.stream().filter(l -> l.connection.equals(connection)).forEach(l -> l.leaving = true);
         return settle(now);
     }
 
     /** A connection is no more; its streams end by themselves. */
     public Follows<C, W> lost(C connection, double now) {
-        lines.removeIf(l -> l.connection == connection);
+        lines.removeIf(l -> l.connection.equals(connection));
         return settle(now);
     }
 
