--- a/src/main/java/linenring/exchange/Exchange.java
+++ b/src/main/java/linenring/exchange/Exchange.java
@@ -3,8 +3,10 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.concurrent.CopyOnWriteArrayList;
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
+import java.util.function.Consumer;
 import linenring.message.Arrival;
 import linenring.message.HostList;
 
@@ -36,6 +38,12 @@
     private final Condition something = lock.newCondition();
     private ArrayDeque<Left> waiting = new ArrayDeque<>();
     private long dropped;
+    private final List<Consumer<HostList>> followers = new CopyOnWriteArrayList<>();
+
+    /** Tells of each list and each change too, on the thread that brings it; for who must know addresses. */
+    public void follow(Consumer<HostList> follower) {
+        followers.add(follower);
+    }
 
     public void arrived(Stream from, Arrival what) {
         boolean sums = what instanceof Arrival.HostSums || what instanceof Arrival.Usage;
@@ -51,6 +59,7 @@
     }
 
     public void listed(HostList list) {
+        followers.forEach(f -> f.accept(list));
         leave(taker -> taker.listed(list), false);
     }
 
--- /dev/null
+++ b/src/main/java/linenring/front/Front.java
@@ -0,0 +1,413 @@
+package linenring.front;
+
+import java.util.List;
+import java.util.Map;
+import java.util.Set;
+import java.util.SplittableRandom;
+import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
+import java.util.concurrent.atomic.AtomicLong;
+import linenring.exchange.Exchange;
+import linenring.front.settings.FrontPlan;
+import linenring.log.Log;
+import linenring.message.HostList;
+import linenring.plan.StartFigures.Measure;
+import linenring.routing.Attempt;
+import linenring.routing.HostBook;
+import linenring.routing.Sums;
+import linenring.routing.Tables;
+import linenring.routing.Terms;
+import linenring.routing.Tries;
+import linenring.routing.TryBudget;
+import org.eclipse.jetty.http.MetaData;
+import org.eclipse.jetty.http2.ErrorCode;
+import org.eclipse.jetty.http2.HTTP2Session;
+import org.eclipse.jetty.http2.WindowRateControl;
+import org.eclipse.jetty.http2.api.Session;
+import org.eclipse.jetty.http2.api.Stream;
+import org.eclipse.jetty.http2.api.server.ServerSessionListener;
+import org.eclipse.jetty.http2.client.HTTP2Client;
+import org.eclipse.jetty.http2.frames.GoAwayFrame;
+import org.eclipse.jetty.http2.frames.HeadersFrame;
+import org.eclipse.jetty.http2.frames.ResetFrame;
+import org.eclipse.jetty.http2.server.RawHTTP2ServerConnectionFactory;
+import org.eclipse.jetty.io.ClientConnector;
+import org.eclipse.jetty.server.ConnectionLimit;
+import org.eclipse.jetty.server.HttpConfiguration;
+import org.eclipse.jetty.server.Server;
+import org.eclipse.jetty.server.ServerConnector;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import org.eclipse.jetty.util.thread.Scheduler;
+
+/** The HTTP/2 port: clients' sessions on one side, hosts' on the other, and one {@link Invocation} for each stream. */
+public final class Front {
+    /** How far opening came; the front is null where it failed. */
+    public record Opened(Front front, Reached reached, String fault) {
+        /** The steps of opening. */
+        public enum Reached { STARTED, LISTENING }
+    }
+
+    private static final int THREADS_MOST = 32;    // none of them waits for anything; selectors, helpers, a burst
+    private static final long SWEEP_MS = 250;
+    private static final long DRAIN_STEP_MS = 20;
+
+    private final FrontPlan plan;
+    private final Log log;
+    private final Routes routes;
+    private final HostBook hosts = new HostBook();
+    private final Tables tables;
+    private final Sums sums;
+    private final Tries.Terrain terrain;
+    private final Room keptBodies, buffers;
+    private final Drain<Session> drain;
+    private final Map<Integer, HostLink> links = new ConcurrentHashMap<>();
+    private final Set<Invocation> running = ConcurrentHashMap.newKeySet();
+    private final Map<Session, Object> sessions = new ConcurrentHashMap<>();
+    private final AtomicInteger runningCount = new AtomicInteger();
+    private final ThreadLocal<SplittableRandom> chance;
+    private final long startNanos = System.nanoTime();
+    private final CountDownLatch drained = new CountDownLatch(1);
+    private final AtomicLong[][] counts; // by operation: succeeded, errored, rate-limited, no host, timed out, gone
+    private QueuedThreadPool threads;
+    private Scheduler scheduler;
+    private HTTP2Client client;
+    private Server server;
+    private ServerConnector connector;
+    private Membership membership;
+
+    private Front(FrontPlan plan, Measure measure, long seed, Log log) {
+        this.plan = plan;
+        this.log = log;
+        routes = new Routes(plan.routes());
+        List<String> operations = plan.operations().stream().map(Terms::operation).toList();
+        tables = new Tables(operations, hosts, measure, plan.avoid().after(), plan.avoid().forMs());
+        sums = new Sums(plan.proxy(), plan.zone(), hosts, operations.size(), now());
+        SplittableRandom seeds = new SplittableRandom(seed);
+        chance = ThreadLocal.withInitial(() -> {
+            synchronized (seeds) {
+                return seeds.split();
+            }
+        });
+        terrain = new Tries.Terrain(tables, hosts, new TryBudget(plan.tries().share(), plan.tries().least(),
+                plan.tries().overMs()), plan.tries().objectives(), () -> chance.get().nextDouble());
+        keptBodies = new Room(plan.body().keptInAll());
+        buffers = new Room(plan.body().inAll());
+        drain = new Drain<>(plan.drainMs());
+        counts = new AtomicLong[operations.size()][6];
+        for (AtomicLong[] row : counts) {
+            for (int i = 0; i < row.length; i++) {
+                row[i] = new AtomicLong();
+            }
+        }
+    }
+
+    /** Listens and joins the steward; {@code known} is the list as it was last known, or null. */
+    public static Opened open(FrontPlan plan, Measure measure, HostList known, Exchange exchange, Log log) {
+        Front front = new Front(plan, measure, System.nanoTime(), log);
+        Opened.Reached reached = Opened.Reached.STARTED;
+        try {
+            front.start(exchange, known);
+            reached = Opened.Reached.LISTENING;
+            front.membership.join();
+            front.membership.report();
+            front.sweep();
+            log.info("front", "takes invocations at " + front.at());
+            return new Opened(front, reached, null);
+        } catch (Exception e) { // start() may throw any
+            front.close();
+            return new Opened(null, reached, String.valueOf(e.getMessage()));
+        }
+    }
+
+    private void start(Exchange exchange, HostList known) throws Exception {
+        threads = new QueuedThreadPool(THREADS_MOST, 4);
+        threads.setName("front");
+        threads.setDaemon(true);
+        scheduler = new ScheduledExecutorScheduler("front-timer", true);
+        scheduler.start();
+        server = new Server(threads, scheduler, null);
+        FrontPlan.Clients clients = plan.clients();
+        HttpConfiguration http = new HttpConfiguration();
+        http.setRequestHeaderSize(clients.headers());
+        RawHTTP2ServerConnectionFactory http2 = new RawHTTP2ServerConnectionFactory(http, new Clients());
+        http2.setMaxConcurrentStreams(clients.streams());
+        http2.setInitialStreamRecvWindow(plan.body().window());
+        http2.setInitialSessionRecvWindow(session(clients.streams()));
+        http2.setStreamIdleTimeout(-1); // the tries bound an invocation, stalls and sessions have bounds of their own
+        http2.setRateControlFactory(new WindowRateControl.Factory(clients.framesPerSecond()));
+        http2.setMaxHeaderBlockFragment(clients.headers());
+        server.addBean(http2); // has the life of the server, as it is no connector's own
+        connector = new ServerConnector(server, 1, 1, new Door(http2, log));
+        connector.setHost(plan.listen().getAddress().getHostAddress());
+        connector.setPort(plan.listen().getPort());
+        connector.setIdleTimeout((long) clients.idleMs());
+        connector.setReuseAddress(true);
+        connector.setAcceptQueueSize(512);
+        server.addConnector(connector);
+        server.addBean(new ConnectionLimit(clients.connections(), connector));
+
+        ClientConnector out = new ClientConnector();
+        out.setExecutor(threads);
+        out.setScheduler(scheduler);
+        out.setSelectors(1);
+        client = new HTTP2Client(out);
+        client.setInitialStreamRecvWindow(plan.body().window());
+        client.setInitialSessionRecvWindow(session(plan.pool().streams()));
+        client.setConnectTimeout((long) Math.ceil(plan.dialMs()));
+        client.setIdleTimeout(-1);
+        client.setStreamIdleTimeout(-1);
+        threads.start();
+        client.start();
+        if (known != null) {
+            listed(known);
+        }
+        exchange.follow(this::listed);
+        membership = new Membership(plan, exchange, tables, sums, this::now, threads, scheduler, this::tablesChanged, log);
+        server.start();
+    }
+
+    /** No stream's unread data keeps another's out: as much as all of them may hold. */
+    private int session(int streams) {
+        return (int) Math.min(Integer.MAX_VALUE, Math.max(65_535, (long) streams * plan.body().window()));
+    }
+
+    // ---- what invocations ask
+
+    double now() {
+        return (System.nanoTime() - startNanos) / 1e6;
+    }
+
+    Scheduler.Task schedule(Runnable what, double inMs) {
+        return scheduler.schedule(what, (long) Math.ceil(inMs), TimeUnit.MILLISECONDS);
+    }
+
+    HostLink link(int host) {
+        return links.computeIfAbsent(host, h -> new HostLink(client, hosts.host(h), plan.pool(), plan.dialMs(), scheduler, this::now));
+    }
+
+    void ended(int host, boolean well, double ms) {
+        sums.ended(host, well, ms);
+    }
+
+    void count(int operation, Tries.Reason reason) {
+        counts[operation][switch (reason) {
+            case RATE_LIMITED -> 2;
+            case NO_HOST -> 3;
+            case ERRORED -> 1;
+            case TIMED_OUT -> 4;
+        }].incrementAndGet();
+        if (reason == Tries.Reason.NO_HOST) {
+            log.warn("front", "no host can be picked for " + tables.operations().get(operation) + ": 503");
+        }
+    }
+
+    void answered(int operation, boolean errored) {
+        counts[operation][errored ? 1 : 0].incrementAndGet();
+    }
+
+    void clientGone(int operation) {
+        counts[operation][5].incrementAndGet();
+    }
+
+    void stalled(int operation, Stream client) {
+        log.warn("client", client.getSession().getRemoteSocketAddress() + " takes nothing of an answer to "
+                + tables.operations().get(operation) + " for " + (long) plan.clients().stallMs() + " ms: stream "
+                + client.getId() + " reset");
+    }
+
+    void ended(Invocation invocation, Stream stream, long reserved) {
+        if (running.remove(invocation)) {
+            runningCount.decrementAndGet();
+            buffers.giveBack(reserved);
+            drain.done(stream.getSession());
+        }
+    }
+
+    // ---- clients
+
+    private final class Clients implements ServerSessionListener {
+        @Override
+        public void onAccept(Session session) {
+            sessions.put(session, this);
+            if (!drain.opened(session)) {
+                session.close(ErrorCode.NO_ERROR.code, "drains", Callback.NOOP);
+            }
+        }
+
+        @Override
+        public Stream.Listener onNewStream(Stream stream, HeadersFrame frame) {
+            if (!drain.accepts(stream.getSession(), stream.getId())) {
+                stream.reset(new ResetFrame(stream.getId(), ErrorCode.REFUSED_STREAM_ERROR.code), Callback.NOOP);
+                return null;
+            }
+            stream.setIdleTimeout(-1);
+            return begin(stream, frame);
+        }
+
+        @Override
+        public void onClose(Session session, GoAwayFrame frame, Callback callback) {
+            closed(session);
+            callback.succeeded();
+        }
+
+        @Override
+        public void onFailure(Session session, Throwable failure, Callback callback) {
+            log.info("client", session.getRemoteSocketAddress() + " failed: " + failure.getMessage());
+            closed(session);
+            callback.succeeded();
+        }
+
+        @Override
+        public boolean onIdleTimeout(Session session) {
+            return drain.isIdle(session); // while something runs, its own bounds count
+        }
+
+        private void closed(Session session) {
+            sessions.remove(session);
+            drain.closed(session);
+        }
+    }
+
+    private Stream.Listener begin(Stream stream, HeadersFrame frame) {
+        MetaData.Request head = (MetaData.Request) frame.getMetaData();
+        int operation = routes.operation(head.getMethod(), head.getHttpURI().getPath());
+        if (operation == Routes.NONE) {
+            return refuse(stream, frame, 404);
+        }
+        long reserve = (frame.isEndStream() ? 1L : 2L) * plan.body().window();
+        if (runningCount.incrementAndGet() > plan.clients().running() || !buffers.take(reserve)) {
+            runningCount.decrementAndGet();
+            log.warn("front", "no room for one more invocation beside " + runningCount.get() + ": 503");
+            return refuse(stream, frame, 503);
+        }
+        sums.asked(operation);
+        boolean marked = plan.markHeader() != null && head.getHttpFields().contains(plan.markHeader());
+        Tries tries = new Tries(terrain, operation, plan.operations().get(operation), marked, now());
+        Invocation invocation = new Invocation(this, stream, frame, operation, tries,
+                new KeptBody(plan.body().kept(), keptBodies), reserve);
+        running.add(invocation);
+        invocation.begin();
+        return invocation;
+    }
+
+    /** Answers at once, and reads no body. */
+    private Stream.Listener refuse(Stream stream, HeadersFrame request, int status) {
+        stream.headers(new HeadersFrame(stream.getId(), new MetaData.Response(status, null,
+                org.eclipse.jetty.http.HttpVersion.HTTP_2, Answers.empty()), null, true), Callback.from(() -> {
+                    if (!request.isEndStream()) {
+                        stream.reset(new ResetFrame(stream.getId(), ErrorCode.NO_ERROR.code), Callback.NOOP);
+                    }
+                }, x -> { }));
+        drain.done(stream.getSession());
+        return null;
+    }
+
+    // ---- tables, hosts, time
+
+    private void listed(HostList list) {
+        hosts.listed(list);
+        tablesChanged();
+    }
+
+    private void tablesChanged() {
+        links.forEach((host, link) -> link.retire(!hosts.host(host).isListed() || !tables.isUsed(host)));
+    }
+
+    private void sweep() {
+        try {
+            long now = System.nanoTime(), longest = (long) (plan.clients().stallMs() * 1e6);
+            running.forEach(i -> i.endIfStalled(now, longest));
+            links.values().forEach(HostLink::sweep);
+        } finally {
+            scheduler.schedule(this::sweep, SWEEP_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    // ---- drain
+
+    /** Lets what runs finish and takes nothing new; does nothing where that has begun. */
+    public void drain() {
+        if (!drain.begin(now())) {
+            return;
+        }
+        log.info("front", "drains: " + drain.running() + " invocations run, " + sessions.size() + " clients");
+        connector.shutdown(); // nobody new is accepted
+        sessions.keySet().forEach(s -> ((HTTP2Session) s).goAway(GoAwayFrame.GRACEFUL, Callback.NOOP));
+        drainStep();
+    }
+
+    private void drainStep() {
+        Drain.Stage stage = drain.step(now());
+        if (stage.compareTo(Drain.Stage.LAST_NAMED) >= 0) {
+            for (Session s : sessions.keySet()) {
+                int last = drain.nameLast(s);
+                if (last != Drain.NAMED) {
+                    ((HTTP2Session) s).goAway(new GoAwayFrame(last, ErrorCode.NO_ERROR.code, null), Callback.NOOP);
+                }
+            }
+        }
+        if (stage == Drain.Stage.OVER) {
+            int left = drain.running();
+            log.info("front", "has drained: " + drain.finished() + " finished, " + drain.refused() + " refused, " + left
+                    + " broken off" + (left > 0 ? " after " + (long) plan.drainMs() + " ms" : ""));
+            membership.leave();
+            drained.countDown();
+        } else {
+            scheduler.schedule(this::drainStep, DRAIN_STEP_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+
+    /** Waits until a drain is over. */
+    public void awaitDrained() throws InterruptedException {
+        drained.await();
+    }
+
+    /** Ends at once. */
+    public void close() {
+        try {
+            if (server != null) {
+                server.stop();
+            }
+            if (client != null) {
+                client.stop();
+            }
+            if (threads != null) {
+                threads.stop();
+            }
+            scheduler.stop();
+        } catch (Exception e) { // stop() may throw any
+            log.warn("front", "does not stop cleanly: " + e.getMessage());
+        }
+    }
+
+    /** IP:PORT where it listens. */
+    public String at() {
+        return plan.listen().getAddress().getHostAddress() + ":" + connector.getLocalPort();
+    }
+
+    public int port() {
+        return connector.getLocalPort();
+    }
+
+    /** Invocations that run now. */
+    public int runningNow() {
+        return runningCount.get();
+    }
+
+    /** By operation: how many succeeded, errored, were rate-limited, found no host, timed out, lost their client. */
+    public String totals() {
+        StringBuilder words = new StringBuilder();
+        for (int k = 0; k < counts.length; k++) {
+            words.append(k > 0 ? "; " : "").append(tables.operations().get(k));
+            String[] of = {"succeeded", "errored", "rate-limited", "without a host", "timed out", "client gone"};
+            for (int i = 0; i < of.length; i++) {
+                words.append(' ').append(counts[k][i]).append(' ').append(of[i]);
+            }
+        }
+        return words.toString();
+    }
+}
--- /dev/null
+++ b/src/main/java/linenring/front/Invocation.java
@@ -0,0 +1,507 @@
+package linenring.front;
+
+import java.nio.ByteBuffer;
+import java.util.concurrent.TimeUnit;
+import linenring.routing.Attempt;
+import linenring.routing.Tries;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpVersion;
+import org.eclipse.jetty.http.MetaData;
+import org.eclipse.jetty.http2.ErrorCode;
+import org.eclipse.jetty.http2.api.Stream;
+import org.eclipse.jetty.http2.frames.DataFrame;
+import org.eclipse.jetty.http2.frames.HeadersFrame;
+import org.eclipse.jetty.http2.frames.ResetFrame;
+import org.eclipse.jetty.util.Callback;
+import org.eclipse.jetty.util.Promise;
+import org.eclipse.jetty.util.thread.Scheduler;
+import org.eclipse.jetty.util.thread.SerializedInvoker;
+
+/**
+ * One invocation, from the client's stream to its end: does what its {@link Tries} decide. All that happens to it is
+ * handled one after the other ({@link #then}); no lock is held while Jetty is called, since Jetty calls back for others.
+ */
+final class Invocation implements Stream.Listener {
+    private static final double UNTOLD_MS = 10; // a host's reset is told within the same call
+
+    private final Front front;
+    private final Stream client;
+    private final HeadersFrame request;
+    private final int operation;
+    private final Tries tries;
+    private final KeptBody kept;
+    private final long reserved;
+    private final SerializedInvoker line = new SerializedInvoker();
+
+    private Try current;           // the attempt under way, or null
+    private HttpFields trailers;   // of the request, told before its body is read
+    private boolean requestRead;   // its end was read
+    private boolean answering;     // the client was sent the head of its answer
+    private boolean over;
+    private volatile long writingSince; // 0, or since when the client has not taken what it was sent
+
+    Invocation(Front front, Stream client, HeadersFrame request, int operation, Tries tries, KeptBody kept,
+            long reserved) {
+        this.front = front;
+        this.client = client;
+        this.request = request;
+        this.operation = operation;
+        this.tries = tries;
+        this.kept = kept;
+        this.reserved = reserved;
+        requestRead = request.isEndStream();
+        kept.add(ByteBuffer.allocate(0), requestRead);
+    }
+
+    private void then(Runnable what) {
+        line.run(what);
+    }
+
+    void begin() {
+        then(() -> follow(tries.begin(front.now(), kept.isWhole())));
+    }
+
+    private void follow(Tries.Step step) {
+        if (step instanceof Tries.Step.Send send) {
+            current = new Try(send);
+            current.begin();
+        } else if (step instanceof Tries.Step.GiveUp giveUp) {
+            front.count(operation, giveUp.reason());
+            answer(Answers.status(giveUp.reason()), Answers.fields(giveUp));
+        }
+    }
+
+    // ---- the client's side
+
+    @Override
+    public void onHeaders(Stream stream, HeadersFrame frame) {
+        then(() -> {
+            trailers = frame.getMetaData().getHttpFields();
+            if (current != null) {
+                current.pumpRequest(); // the end of the body is to be read still
+            }
+        });
+    }
+
+    @Override
+    public void onDataAvailable(Stream stream) {
+        then(() -> {
+            if (current != null) {
+                current.demanded = false;
+                current.pumpRequest();
+            }
+        });
+    }
+
+    @Override
+    public void onReset(Stream stream, ResetFrame frame, Callback callback) {
+        then(() -> clientGone());
+        callback.succeeded();
+    }
+
+    @Override
+    public void onFailure(Stream stream, int error, String reason, Throwable failure, Callback callback) {
+        then(() -> clientGone());
+        callback.succeeded();
+    }
+
+    private void clientGone() {
+        if (!over) {
+            tries.abandoned();
+            front.clientGone(operation);
+            end();
+        }
+    }
+
+    /** Answers with a status of ours, at once; what the client still sends is not read. */
+    private void answer(int status, HttpFields fields) {
+        if (over) {
+            return;
+        }
+        boolean stop = !requestRead;
+        client.headers(new HeadersFrame(client.getId(),
+                new MetaData.Response(status, null, HttpVersion.HTTP_2, fields), null, true),
+                Callback.from(() -> {
+                    if (stop) { // RFC 9113, 8.1: the answer is whole without the rest of the request
+                        client.reset(new ResetFrame(client.getId(), ErrorCode.NO_ERROR.code), Callback.NOOP);
+                    }
+                }, x -> { }));
+        end();
+    }
+
+    /** Ends the client's stream where its answer can't be whole any more. */
+    private void breakOff(ErrorCode why) {
+        if (!over) {
+            client.reset(new ResetFrame(client.getId(), why.code), Callback.NOOP);
+            end();
+        }
+    }
+
+    private void end() {
+        if (over) {
+            return;
+        }
+        over = true;
+        writingSince = 0;
+        Try was = current;
+        current = null;
+        if (was != null) {
+            was.abandon();
+        }
+        kept.letGo();
+        front.ended(this, client, reserved);
+    }
+
+    /** Ends it if its client has not taken what it was sent for so long (ns); true if so. */
+    boolean endIfStalled(long now, long longest) {
+        long since = writingSince;
+        if (since == 0 || now - since < longest) {
+            return false;
+        }
+        then(() -> {
+            if (!over && writingSince == since) {
+                front.stalled(operation, client);
+                tries.abandoned();
+                breakOff(ErrorCode.ENHANCE_YOUR_CALM_ERROR);
+            }
+        });
+        return true;
+    }
+
+    // ---- one attempt
+
+    /** One attempt at one host. */
+    private final class Try implements Stream.Listener, HostLink.Wants, Promise<Stream> {
+        private final int host;
+        private final HostLink link;
+        private final double until, sentAt = front.now();
+        private final Scheduler.Task timer;
+        private HostLink.Connection on; // null until a stream was granted
+        private Stream stream;          // null until the request's head was sent
+        private boolean ended;          // told to the tries, or nobody's business any more
+        private boolean headSent, writing, demanded;
+        private boolean begun;          // its answer's head has come
+        private boolean reading;        // of the answer, under way
+        private int sentAgain;          // bytes of the kept body that went out again
+        private byte[] again = {};
+        private HttpFields answerTrailers;
+        private boolean released;
+        private volatile boolean resetByHost;
+
+        Try(Tries.Step.Send send) {
+            host = send.host();
+            link = front.link(host);
+            until = send.until();
+            timer = front.schedule(() -> then(this::timedOut), Math.max(0, until - front.now()));
+        }
+
+        void begin() {
+            again = kept.bytes();
+            link.want(this);
+        }
+
+        @Override
+        public void granted(HostLink.Connection connection) {
+            then(() -> {
+                on = connection;
+                if (ended) {
+                    release();
+                    return;
+                }
+                boolean nothingFollows = kept.hasEnded() && again.length == 0 && trailers == null;
+                headSent = true;
+                connection.session().newStream(new HeadersFrame(request.getMetaData(), null, nothingFollows), this, this);
+            });
+        }
+
+        @Override
+        public void turnedAway() {
+            then(() -> ended(new Attempt(Attempt.Proof.NEVER_SENT, Attempt.Why.UNREACHABLE)));
+        }
+
+        @Override
+        public void succeeded(Stream opened) {
+            then(() -> {
+                stream = opened;
+                opened.setIdleTimeout(-1); // the tries say how long it may take
+                if (ended) {
+                    cancel();
+                } else if (!(kept.hasEnded() && again.length == 0 && trailers == null)) {
+                    pumpRequest();
+                }
+            });
+        }
+
+        @Override
+        public void failed(Throwable x) { // of a full connection nothing was written; else part of it may have been
+            boolean unsent = x instanceof IllegalStateException;
+            then(() -> {
+                release();
+                ended(unsent ? new Attempt(Attempt.Proof.NEVER_SENT, Attempt.Why.REFUSED)
+                        : new Attempt(Attempt.Proof.MAY_HAVE_RUN, Attempt.Why.CONNECTION_LOST));
+            });
+        }
+
+        // -- the request's body
+
+        void pumpRequest() {
+            if (ended && !begun || writing || stream == null || stream.isReset()) {
+                return;
+            }
+            if (sentAgain < again.length) {
+                ByteBuffer bytes = ByteBuffer.wrap(again, sentAgain, Math.min(16 << 10, again.length - sentAgain));
+                sentAgain += bytes.remaining();
+                boolean last = sentAgain == again.length && requestRead && trailers == null;
+                write(new DataFrame(stream.getId(), bytes, last), () -> { });
+            } else if (requestRead) {
+                if (trailers != null) {
+                    HttpFields last = trailers;
+                    writing = true; // nothing follows
+                    stream.headers(new HeadersFrame(stream.getId(), new MetaData(HttpVersion.HTTP_2, last), null, true),
+                            Callback.NOOP);
+                }
+            } else if (!demanded) {
+                Stream.Data data = client.readData();
+                if (data == null) {
+                    demanded = true;
+                    client.demand();
+                    return;
+                }
+                DataFrame frame = data.frame();
+                requestRead = frame.isEndStream();
+                kept.add(frame.getByteBuffer(), requestRead);
+                if (requestRead && trailers != null && !frame.getByteBuffer().hasRemaining()) {
+                    data.release();
+                    pumpRequest();
+                } else {
+                    write(new DataFrame(stream.getId(), frame.getByteBuffer(), requestRead && trailers == null),
+                            data::release);
+                }
+            }
+        }
+
+        private void write(DataFrame frame, Runnable written) {
+            writing = true;
+            stream.data(frame, Callback.from(() -> {
+                written.run();
+                then(() -> {
+                    writing = false;
+                    if (!frame.isEndStream()) {
+                        pumpRequest();
+                    }
+                });
+            }, x -> {
+                written.run(); // the stream's end is told elsewhere
+                then(() -> writing = false);
+            }));
+        }
+
+        // -- the answer
+
+        @Override
+        public void onHeaders(Stream from, HeadersFrame frame) {
+            then(() -> {
+                if (over || ended && !begun) {
+                    return;
+                }
+                if (!(frame.getMetaData() instanceof MetaData.Response head)) {
+                    answerTrailers = frame.getMetaData().getHttpFields();
+                    pumpAnswer();
+                } else if (head.getStatus() < 200) {
+                    if (head.getStatus() != 101 && !answering) {
+                        client.headers(new HeadersFrame(client.getId(), head, null, false), Callback.NOOP);
+                    }
+                } else {
+                    head(head, frame.isEndStream());
+                }
+            });
+        }
+
+        private void head(MetaData.Response head, boolean last) {
+            boolean errored = head.getStatus() >= 500;
+            front.ended(host, !errored, front.now() - sentAt);
+            Tries.Step step = errored ? tries.ended(
+                    new Attempt(Attempt.Proof.RAN, Attempt.Why.ANSWERED_ERRORED), front.now(), kept.isWhole())
+                    : tries.answered(front.now());
+            ended = true;
+            timer.cancel();
+            if (step instanceof Tries.Step.Send) {
+                if (!last) {
+                    cancel();
+                }
+                follow(step);
+            } else if (step instanceof Tries.Step.PassOn) {
+                begun = true;
+                answering = true;
+                kept.letGo();
+                front.answered(operation, errored);
+                writingSince = System.nanoTime();
+                client.headers(new HeadersFrame(client.getId(), head, null, last), Callback.from(() -> then(() -> {
+                    writingSince = 0;
+                    if (last) {
+                        answerDone();
+                    } else {
+                        pumpAnswer();
+                    }
+                }), x -> then(() -> clientGone())));
+            }
+        }
+
+        @Override
+        public void onDataAvailable(Stream from) {
+            then(this::pumpAnswer);
+        }
+
+        private void pumpAnswer() {
+            if (over || !begun || reading || writingSince != 0) {
+                return;
+            }
+            Stream.Data data = stream.readData();
+            if (data == null) {
+                stream.demand();
+                return;
+            }
+            DataFrame frame = data.frame();
+            boolean last = frame.isEndStream();
+            if (last && answerTrailers != null && !frame.getByteBuffer().hasRemaining()) {
+                data.release();
+                sendTrailers();
+                return;
+            }
+            reading = true;
+            writingSince = System.nanoTime();
+            client.data(new DataFrame(client.getId(), frame.getByteBuffer(), last && answerTrailers == null),
+                    Callback.from(() -> {
+                        data.release();
+                        then(() -> {
+                            reading = false;
+                            writingSince = 0;
+                            if (!last) {
+                                pumpAnswer();
+                            } else if (answerTrailers != null) {
+                                sendTrailers();
+                            } else {
+                                answerDone();
+                            }
+                        });
+                    }, x -> {
+                        data.release();
+                        then(() -> clientGone());
+                    }));
+        }
+
+        private void sendTrailers() {
+            client.headers(new HeadersFrame(client.getId(), new MetaData(HttpVersion.HTTP_2, answerTrailers), null,
+                    true), Callback.from(() -> then(this::answerDone), x -> then(() -> clientGone())));
+        }
+
+        private void answerDone() {
+            if (!over && !requestRead) { // the host needs no more of the request, nor do we
+                client.reset(new ResetFrame(client.getId(), ErrorCode.NO_ERROR.code), Callback.NOOP);
+            }
+            Invocation.this.end();
+        }
+
+        // -- how it ends without one
+
+        @Override
+        public void onReset(Stream from, ResetFrame frame, Callback callback) {
+            boolean refused = frame.getError() == ErrorCode.REFUSED_STREAM_ERROR.code;
+            resetByHost = true;
+            boolean done = frame.getError() == ErrorCode.NO_ERROR.code;
+            then(() -> {
+                release();
+                if (!(done && begun)) { // else its answer is whole, and is being read
+                    ended(refused && !begun ? new Attempt(Attempt.Proof.NOT_PROCESSED, Attempt.Why.REFUSED)
+                            : new Attempt(Attempt.Proof.MAY_HAVE_RUN, Attempt.Why.RESET));
+                }
+            });
+            callback.succeeded();
+        }
+
+        @Override
+        public void onFailure(Stream from, int error, String reason, Throwable failure, Callback callback) {
+            then(() -> {
+                boolean unprocessed = on.isNotProcessed(from.getId());
+                release();
+                ended(unprocessed ? new Attempt(Attempt.Proof.NOT_PROCESSED, Attempt.Why.GOING_AWAY)
+                        : new Attempt(Attempt.Proof.MAY_HAVE_RUN, Attempt.Why.CONNECTION_LOST));
+            });
+            callback.succeeded();
+        }
+
+        @Override
+        public void onClosed(Stream from) {
+            then(() -> {
+                release();
+                if (from.isReset() && !ended | begun && !over) { // by the host, which is told next; or by Jetty
+                    front.schedule(() -> then(this::resetUntold), UNTOLD_MS);
+                }
+            });
+        }
+
+        /** Jetty resets what is no HTTP/2 message, such as a body of another length than was said, and tells nobody. */
+        private void resetUntold() {
+            if (!resetByHost) {
+                ended(new Attempt(Attempt.Proof.MAY_HAVE_RUN, Attempt.Why.RESET));
+            }
+        }
+
+        private void timedOut() {
+            if (!ended) {
+                boolean unsent = !headSent;
+                abandonStream();
+                ended(new Attempt(unsent ? Attempt.Proof.NEVER_SENT : Attempt.Proof.MAY_HAVE_RUN,
+                        unsent ? Attempt.Why.UNREACHABLE : Attempt.Why.TIMED_OUT));
+            }
+        }
+
+        private void ended(Attempt how) {
+            if (begun && !over) { // the client has part of the answer
+                breakOff(ErrorCode.INTERNAL_ERROR);
+                return;
+            }
+            if (ended) {
+                return;
+            }
+            ended = true;
+            timer.cancel();
+            front.ended(host, how.why() == Attempt.Why.GOING_AWAY, front.now() - sentAt);
+            Tries.Step step = tries.ended(how, front.now(), kept.isWhole());
+            current = null;
+            follow(step);
+        }
+
+        /** Nobody waits for it any more. */
+        void abandon() {
+            timer.cancel();
+            ended = true; // a client that left says nothing about the host
+            abandonStream();
+        }
+
+        private void abandonStream() {
+            if (on == null) {
+                if (!link.gone(this)) {
+                    ended = true; // granted or turned away by now; seen there
+                }
+            } else {
+                cancel();
+            }
+        }
+
+        private void cancel() {
+            if (stream != null) {
+                if (!stream.isReset() && !stream.isClosed()) {
+                    stream.reset(new ResetFrame(stream.getId(), ErrorCode.CANCEL_STREAM_ERROR.code), Callback.NOOP);
+                }
+            } // it counts as running until it is closed; one that is not open yet is reset once it is
+        }
+
+        private void release() {
+            if (on != null && !released) {
+                released = true;
+                on.done();
+            }
+        }
+    }
+}
--- /dev/null
+++ b/src/main/java/linenring/front/Membership.java
@@ -0,0 +1,129 @@
+package linenring.front;
+
+import java.util.concurrent.Executor;
+import java.util.concurrent.TimeUnit;
+import java.util.function.DoubleSupplier;
+import linenring.exchange.Exchange;
+import linenring.exchange.Stream;
+import linenring.front.settings.FrontPlan;
+import linenring.log.Log;
+import linenring.message.Arrival;
+import linenring.message.Order;
+import linenring.routing.Sums;
+import linenring.routing.Tables;
+import org.eclipse.jetty.util.thread.Scheduler;
+import org.eclipse.jetty.util.thread.SerializedInvoker;
+
+/**
+ * The front as one more proxy of the steward, in its process: joins through the exchange, applies orders, answers
+ * marks, reports. The steward's thread is never kept waiting.
+ */
+final class Membership {
+    private static final long REJOIN_MS = 200; // as proxies dial again within 0.1 to 2 s
+
+    /** One stream to the steward; orders on one that was left change nothing. */
+    private final class Joined implements Stream {
+        @Override
+        public void write(Order order) {
+            orders.offer(() -> apply(this, order));
+            executor.execute(orders::run);
+        }
+
+        @Override
+        public void close(String why) {
+            orders.offer(() -> broke(this, why));
+            executor.execute(orders::run);
+        }
+    }
+
+    /** Tasks one after the other, on whichever thread runs them. */
+    private static final class Line {
+        private final SerializedInvoker invoker = new SerializedInvoker();
+        private final java.util.concurrent.ConcurrentLinkedQueue<Runnable> next =
+                new java.util.concurrent.ConcurrentLinkedQueue<>();
+
+        void offer(Runnable task) {
+            Runnable link = invoker.offer(task);
+            if (link != null) {
+                next.add(link);
+            }
+        }
+
+        void run() {
+            for (Runnable link = next.poll(); link != null; link = next.poll()) {
+                link.run();
+            }
+        }
+    }
+
+    private final FrontPlan plan;
+    private final Exchange exchange;
+    private final Tables tables;
+    private final Sums sums;
+    private final DoubleSupplier clock;
+    private final Executor executor;
+    private final Scheduler scheduler;
+    private final Runnable changed;
+    private final Log log;
+    private final Line orders = new Line();
+    private volatile Joined joined;
+    private volatile boolean leaving;
+
+    Membership(FrontPlan plan, Exchange exchange, Tables tables, Sums sums, DoubleSupplier clock, Executor executor,
+            Scheduler scheduler, Runnable changed, Log log) {
+        this.plan = plan;
+        this.exchange = exchange;
+        this.tables = tables;
+        this.sums = sums;
+        this.clock = clock;
+        this.executor = executor;
+        this.scheduler = scheduler;
+        this.changed = changed;
+        this.log = log;
+    }
+
+    void join() {
+        Joined now = new Joined();
+        joined = now;
+        exchange.arrived(now, new Arrival.Joining(plan.proxy(), plan.zone(), plan.usual(), tables.isFresh()));
+    }
+
+    /** Starts to report every so often. */
+    void report() {
+        Joined now = joined;
+        if (leaving) {
+            return;
+        }
+        sums.report(clock.getAsDouble()).forEach(a -> exchange.arrived(now, a));
+        scheduler.schedule(this::report, (long) plan.reportMs(), TimeUnit.MILLISECONDS);
+    }
+
+    void leave() {
+        leaving = true;
+        exchange.ended(joined);
+    }
+
+    private void apply(Joined on, Order order) {
+        if (on != joined) {
+            return;
+        }
+        double from = clock.getAsDouble();
+        Tables.Applied done = tables.apply(order);
+        if (!done.isUsable()) {
+            exchange.ended(on);
+            broke(on, "brought an order that can't be used: " + done.unusable());
+            return;
+        }
+        changed.run();
+        double took = clock.getAsDouble() - from;
+        done.marks().forEach(mark -> exchange.arrived(on, new Arrival.Applied(plan.proxy(), mark, took)));
+    }
+
+    private void broke(Joined was, String why) {
+        if (was == joined && !leaving) {
+            log.warn("front", "its stream to the steward " + why + ": joins again");
+            joined = null;
+            scheduler.schedule(this::join, REJOIN_MS, TimeUnit.MILLISECONDS);
+        }
+    }
+}
--- a/src/main/java/linenring/routing/Pool.java
+++ b/src/main/java/linenring/routing/Pool.java
@@ -32,8 +32,8 @@
     /** One who waited and now has a stream of a connection. */
     public record Served<C, W>(W who, C connection) { }
 
-    /** Sizes and waits. */
-    public record Bounds(int connections, int waiting, double idleMs, double dialWaitLeast, double dialWaitMost) { }
+    /** Sizes and waits; {@code streams}: how many a connection is expected to take while none was opened. */
+    public record Bounds(int connections, int streams, int waiting, double idleMs, double dialWaitLeast, double dialWaitMost) { }
 
     private static final class Line<C> {
         final C connection;
@@ -56,12 +56,13 @@
     private final List<Line<C>> lines = new ArrayList<>();
     private final ArrayDeque<W> waiting = new ArrayDeque<>();
     private int opening;
-    private int expected = 1; // streams of a connection, as the last one that was opened took
+    private int expected; // streams of a connection, as the last one that was opened took
     private boolean retired;
     private double dialWait, noDialBefore = Double.NEGATIVE_INFINITY;
 
     public Pool(Bounds bounds) {
         this.bounds = bounds;
+        expected = bounds.streams();
     }
 
     /** Somebody wants a stream. */
--- /dev/null
+++ b/src/test/java/linenring/front/FrontTest.java
@@ -0,0 +1,389 @@
+package linenring.front;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotNull;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.IOException;
+import java.util.ArrayList;
+import java.util.List;
+import linenring.message.Arrival;
+import linenring.plan.Orders.FurtherTries;
+import linenring.standin.Caller;
+import linenring.standin.Node;
+import linenring.standin.Node.Deed;
+import linenring.standin.Node.Told;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+@Timeout(60)
+class FrontTest {
+    private static final int CANCEL = 8, REFUSED = 7, NO_ERROR = 0;
+
+    private static Node busy(Rig rig) {
+        return rig.nodes.stream().filter(n -> n.running() > 0 || !n.ran().isEmpty()).findFirst().orElseThrow();
+    }
+
+    @Test
+    void invocationsGoToHostsOfTheTableAndAnswersComeBack() throws IOException {
+        try (Rig rig = new Rig(3)) {
+            Caller c = rig.caller();
+            List<Integer> streams = new ArrayList<>();
+            for (int i = 0; i < 60; i++) {
+                streams.add(c.send("GET", "/quote?from=here"));
+            }
+            streams.forEach(s -> assertEquals(200, c.await(s).status));
+            assertEquals(60, rig.ran("/quote"));
+            rig.nodes.forEach(n -> assertTrue(n.ran("/quote") > 5));
+            assertTrue(rig.nodes.stream().allMatch(n -> n.connections() == 1));
+        }
+    }
+
+    @Test
+    void unknownRoutesAreAnsweredAtOnceAndReachNoHost() throws IOException {
+        try (Rig rig = new Rig(1)) {
+            Caller c = rig.caller();
+            assertEquals(404, c.call("GET", "/nothing").status);
+            assertEquals(404, c.call("DELETE", "/quote").status);
+            assertEquals(404, c.call("GET", "/quotes").status);
+            assertEquals(200, c.call("GET", "/quote/7").status);
+            int upload = c.begin("POST", "/nothing", false);
+            assertEquals(404, c.await(upload).status);
+            assertEquals(1, rig.nodes.get(0).arrived());
+        }
+    }
+
+    @Test
+    void bodiesHeadsTrailersAndEarlyHintsComeThrough() throws IOException {
+        try (Rig rig = new Rig(1)) {
+            Node node = rig.nodes.get(0);
+            Caller c = rig.caller();
+            node.next(Told.of(Deed.ANSWER).bytes(1_000_000));
+            assertEquals(1_000_000, c.call("GET", "/quote").bytes);
+            node.next(Told.of(Deed.ANSWER).bytes(0));
+            assertEquals(0, c.call("GET", "/quote").bytes);
+            node.next(Told.of(Deed.EARLY_HINTS_AND_TRAILERS));
+            Caller.Answer hinted = c.call("GET", "/quote");
+            assertEquals(List.of(103), hinted.early);
+            assertEquals("7", hinted.trailers.get("x-sum"));
+            node.next(Told.of(Deed.ANSWER).bytes(0));
+            assertEquals(200, c.call("HEAD", "/quote").status);
+            int upload = c.begin("POST", "/quote", false, "content-length", "50000");
+            for (int i = 0; i < 5; i++) {
+                c.body(upload, 10_000, i == 4);
+            }
+            assertEquals(200, c.await(upload).status);
+            assertEquals(50_000, node.bodyBytes("/quote"));
+            node.next(Told.of(Deed.LIE_ABOUT_LENGTH).bytes(100));
+            Caller.Answer lied = c.call("GET", "/quote");
+            assertTrue(lied.reset >= 0, "a body that is shorter than it says is not passed on as whole");
+        }
+    }
+
+    @Test
+    void aClientThatLiesAboutItsLengthIsResetAndOthersGoOn() throws IOException {
+        try (Rig rig = new Rig(1)) {
+            Caller c = rig.caller();
+            int lie = c.begin("POST", "/assign", false, "content-length", "10");
+            c.body(lie, 20, true);
+            assertTrue(c.await(lie).reset >= 0 || c.answer(lie).status >= 400);
+            assertEquals(200, c.call("GET", "/quote").status);
+        }
+    }
+
+    // ---- what runs, and how often
+
+    @Test
+    void anAssignWhoseClientResetsRunsAtMostOnceWheneverThatIs() throws IOException {
+        try (Rig rig = new Rig(3)) {
+            rig.all(FurtherTries.TWO);
+            rig.nodes.forEach(n -> n.always("/assign", Told.of(Deed.ANSWER).after(100)));
+            Caller c = rig.caller();
+            for (int i = 0; i < 20; i++) { // before its body has come, at once, while it runs
+                int held = c.begin("POST", "/assign", false, "x-mark", "held" + i);
+                c.link.reset(held, CANCEL);
+                int quick = c.send("POST", "/assign", "x-mark", "quick" + i);
+                c.link.reset(quick, CANCEL);
+                String word = "runs" + i;
+                int runs = c.send("POST", "/assign", "x-mark", word);
+                c.until(() -> rig.marked(word) == 1, "it is at a node");
+                c.link.reset(runs, CANCEL);
+            }
+            assertEquals(200, c.call("POST", "/assign", "x-mark", "last").status);
+            Caller.awaiting(this, () -> rig.front.runningNow() == 0, "all are over");
+            for (int i = 0; i < 20; i++) {
+                assertTrue(rig.marked("held" + i) <= 1 && rig.marked("quick" + i) <= 1);
+                assertEquals(1, rig.marked("runs" + i));
+            }
+        }
+    }
+
+    @Test
+    void aHostThatDiesWithAnAssignIsAnsweredAtOnceAndItIsNotSentAgain() throws IOException {
+        for (Deed deed : List.of(Deed.DIE, Deed.RESET, Deed.CLOSE)) {
+            try (Rig rig = new Rig(3)) {
+                rig.all(FurtherTries.TWO);
+                rig.nodes.forEach(n -> n.always("/assign", Told.of(deed)));
+                long from = System.nanoTime();
+                assertEquals(502, rig.caller().call("POST", "/assign").status, deed.toString());
+                assertTrue(System.nanoTime() - from < 2_000_000_000L, "long before its timeout");
+                assertEquals(1, rig.nodes.stream().mapToInt(Node::arrived).sum());
+            }
+        }
+    }
+
+    @Test
+    void onProofThatItNeverRanAnAssignGoesElsewhereAndRunsOnce() throws IOException {
+        for (Deed deed : List.of(Deed.REFUSE, Deed.GO_AWAY_BELOW)) {
+            try (Rig rig = new Rig(2)) {
+                Caller c = rig.caller();
+                c.call("GET", "/quote"); // so that there are connections
+                rig.nodes.forEach(n -> n.always("/assign", Told.of(Deed.ANSWER)));
+                for (int i = 0; i < 10; i++) {
+                    rig.nodes.get(0).always("/assign", Told.of(deed));
+                    assertEquals(200, c.call("POST", "/assign", "x-mark", "m" + i).status, deed.toString());
+                    assertEquals(1, rig.marked("m" + i));
+                }
+                assertEquals(10, rig.nodes.get(1).ran("/assign"));
+                assertEquals(0, rig.nodes.get(0).ran("/assign"));
+            }
+        }
+    }
+
+    @Test
+    void aHostThatIsNotThereIsNoRunAndAQuoteAndAnAssignGoElsewhere() throws IOException {
+        try (Rig rig = new Rig(2)) {
+            rig.nodes.get(0).close();
+            Caller c = rig.caller();
+            for (int i = 0; i < 20; i++) {
+                assertEquals(200, c.call("POST", i % 2 == 0 ? "/assign" : "/quote").status);
+            }
+            assertEquals(10, rig.nodes.get(1).ran("/assign"));
+        }
+    }
+
+    @Test
+    void aQuoteRunsAgainElsewhereAndIsAnsweredOnce() throws IOException {
+        for (Deed deed : List.of(Deed.RESET, Deed.DIE, Deed.ERROR, Deed.CLOSE, Deed.HANG)) {
+            try (Rig rig = new Rig(2)) {
+                rig.all(FurtherTries.ONE);
+                rig.nodes.get(0).always("/", Told.of(deed));
+                Caller c = rig.caller();
+                for (int i = 0; i < 6; i++) {
+                    int s = c.begin("POST", "/quote", false);
+                    c.body(s, 700, true);
+                    Caller.Answer a = c.await(s);
+                    assertEquals(200, a.status, deed.toString());
+                    assertEquals(2, a.bytes);
+                }
+                assertEquals(6, rig.nodes.get(1).ran("/quote"));
+                assertEquals(0, (rig.nodes.get(0).bodyBytes("/quote") + rig.nodes.get(1).bodyBytes("/quote")) % 700);
+            }
+        }
+    }
+
+    @Test
+    void withoutOrdersToTryAgainAQuoteThatFailsIsAnsweredAtOnce() throws IOException {
+        try (Rig rig = new Rig(2)) {
+            rig.nodes.forEach(n -> n.always("/", Told.of(Deed.RESET)));
+            assertEquals(502, rig.caller().call("GET", "/quote").status);
+            rig.nodes.forEach(n -> n.always("/", Told.of(Deed.ERROR)));
+            assertEquals(500, rig.caller().call("GET", "/quote").status);
+        }
+    }
+
+    @Test
+    void aBookGoesAgainWithItsMarkInsideItsZoneAlone() throws IOException {
+        try (Rig rig = new Rig(4)) {
+            rig.all(FurtherTries.ONE);
+            rig.nodes.forEach(n -> n.always("/book", Told.of(Deed.ANSWER)));
+            rig.nodes.get(0).always("/book", Told.of(Deed.DIE)); // zone a, as is node 2
+            Caller c = rig.caller();
+            int again = 0;
+            for (int i = 0; i < 30; i++) {
+                String word = "b" + i;
+                assertEquals(200, c.call("POST", "/book", "x-mark", word).status);
+                if (rig.nodes.get(0).marked(word) == 1) {
+                    again++;
+                    assertEquals(1, rig.nodes.get(2).marked(word));
+                }
+                assertTrue(rig.nodes.get(1).marked(word) + rig.nodes.get(3).marked(word) <= 1);
+            }
+            assertTrue(again > 0);
+            rig.nodes.forEach(n -> n.always("/book", Told.of(Deed.DIE)));
+            assertEquals(502, c.call("POST", "/book").status); // without a mark it has one try
+        }
+    }
+
+    @Test
+    void aBodyPastWhatIsKeptHasOneTry() throws IOException {
+        try (Rig rig = new Rig(2, "body kept=\"1KiB\"")) {
+            rig.all(FurtherTries.ONE);
+            rig.nodes.forEach(n -> n.always("/", Told.of(Deed.RESET)));
+            Caller c = rig.caller();
+            int s = c.begin("POST", "/quote", false);
+            c.body(s, 5000, true);
+            assertEquals(502, c.await(s).status);
+            assertEquals(1, rig.nodes.stream().mapToInt(Node::arrived).sum());
+        }
+    }
+
+    @Test
+    void anAnswerThatBreaksOffIsResetAndNeverGluedToAnother() throws IOException {
+        for (Deed deed : List.of(Deed.RESET_AFTER_HEAD, Deed.RESET_IN_BODY, Deed.DIE_IN_BODY)) {
+            try (Rig rig = new Rig(2)) {
+                rig.all(FurtherTries.TWO);
+                rig.nodes.forEach(n -> n.always("/", Told.of(deed).bytes(1000)));
+                Caller.Answer a = rig.caller().call("GET", "/quote");
+                assertTrue(a.reset >= 0, deed.toString());
+                assertEquals(1, rig.ran("/quote"));
+            }
+        }
+    }
+
+    @Test
+    void aRetryStormStaysWithinTheBudget() throws IOException {
+        try (Rig rig = new Rig(4, "tries budget=\"20%\" over=\"60s\" least=5\navoid after=0")) {
+            rig.all(FurtherTries.TWO);
+            rig.nodes.forEach(n -> n.always("/", Told.of(Deed.ERROR)));
+            Caller c = rig.caller();
+            for (int i = 0; i < 500; i++) {
+                assertEquals(500, c.call("GET", "/quote").status);
+            }
+            int arrived = rig.nodes.stream().mapToInt(Node::arrived).sum();
+            assertTrue(arrived > 590 && arrived <= 600, "tries: " + arrived);
+        }
+    }
+
+    // ---- tables, levels, the steward
+
+    @Test
+    void whereNothingCanBePickedTheAnswerIsAtOnce() throws IOException {
+        try (Rig rig = new Rig(2)) {
+            rig.shutOut("s-0", "s-1");
+            assertEquals(503, rig.caller().call("GET", "/quote").status);
+            assertTrue(rig.logged.toString().contains("no host can be picked for quote"));
+            rig.table(new int[0], 1, FurtherTries.ONE);
+            assertEquals(503, rig.caller().call("GET", "/quote").status);
+        }
+    }
+
+    @Test
+    void aLevelTurnsAwayItsShareAtOnce() throws IOException {
+        try (Rig rig = new Rig(2)) {
+            rig.table(new int[] {0, 1}, 0.5, FurtherTries.NONE);
+            Caller c = rig.caller();
+            int limited = 0;
+            for (int i = 0; i < 200; i++) {
+                limited += c.call("GET", "/quote").status == 429 ? 1 : 0;
+            }
+            assertEquals(100, limited, 40);
+        }
+    }
+
+    @Test
+    void aHostThatDrainsFinishesWhatItRunsAndGetsNothingNew() throws IOException {
+        try (Rig rig = new Rig(2)) {
+            rig.nodes.forEach(n -> n.always("/assign", Told.of(Deed.ANSWER).after(400)));
+            Caller c = rig.caller();
+            List<Integer> streams = new ArrayList<>();
+            for (int i = 0; i < 20; i++) {
+                streams.add(c.send("POST", "/assign"));
+            }
+            c.until(() -> rig.ran("/assign") == 20, "all are at nodes");
+            int before = rig.nodes.get(0).ran("/assign");
+            rig.shutOut("s-0");
+            for (int i = 0; i < 10; i++) {
+                assertEquals(200, c.call("GET", "/quote").status);
+            }
+            streams.forEach(s -> assertEquals(200, c.await(s).status));
+            assertEquals(before, rig.nodes.get(0).ran("/assign"));
+            assertEquals(0, rig.nodes.get(0).ran("/quote"));
+            c.until(() -> rig.nodes.get(0).connections() == 0, "its connections are closed");
+        }
+    }
+
+    @Test
+    void itReportsWhatItMetAndWasAsked() throws IOException {
+        try (Rig rig = new Rig(1)) {
+            Caller c = rig.caller();
+            for (int i = 0; i < 7; i++) {
+                c.call("GET", "/quote");
+            }
+            rig.nodes.get(0).always("/", Told.of(Deed.RESET));
+            c.call("POST", "/assign");
+            Caller.awaiting(this, () -> {
+                rig.exchange.drain(rig);
+                return List.copyOf(rig.heard).stream().filter(a -> a instanceof Arrival.HostSums)
+                        .mapToInt(a -> ((Arrival.HostSums) a).total()).sum() == 8;
+            }, "all tries are reported");
+            List<Arrival> heard = List.copyOf(rig.heard);
+            assertEquals(1, heard.stream().filter(a -> a instanceof Arrival.HostSums)
+                    .mapToInt(a -> ((Arrival.HostSums) a).bad()).sum());
+            assertEquals(7, heard.stream().filter(a -> a instanceof Arrival.Usage u && u.operation() == 0)
+                    .mapToInt(a -> ((Arrival.Usage) a).total()).sum());
+        }
+    }
+
+    // ---- drain
+
+    @Test
+    void aDrainFinishesWhatRunsRefusesWhatComesLaterAndTellsBoth() throws Exception {
+        try (Rig rig = new Rig(2)) {
+            rig.nodes.forEach(n -> {
+                n.always("/quote", Told.of(Deed.ANSWER).after(300));
+                n.always("/assign", Told.of(Deed.ANSWER).after(900));
+            });
+            Caller c = rig.caller(), other = rig.caller();
+            List<Integer> streams = new ArrayList<>();
+            for (int i = 0; i < 100; i++) {
+                streams.add(c.send(i % 2 == 0 ? "GET" : "POST", i % 2 == 0 ? "/quote" : "/assign"));
+                other.send("POST", "/assign");
+            }
+            c.until(() -> rig.ran("/assign") + rig.ran("/quote") == 200, "200 run");
+            rig.front.drain();
+            rig.front.drain(); // a second signal changes nothing
+            c.until(() -> c.goAways().size() >= 2, "the last stream is named");
+            assertEquals(Integer.MAX_VALUE, c.goAways().get(0).figure(0));
+            assertEquals(199, c.goAways().get(1).figure(0));
+            int late = c.send("POST", "/assign", "x-mark", "late");
+            Caller.Answer refused = c.await(late);
+            assertTrue(refused.reset == REFUSED || refused.reset == -1 && refused.status == 0);
+            rig.front.awaitDrained();
+            for (int s : streams) {
+                assertEquals(200, c.await(s).status);
+            }
+            for (int s = 1; s < 200; s += 2) {
+                assertEquals(200, other.await(s).status);
+            }
+            assertEquals(0, rig.marked("late"));
+            assertTrue(rig.logged.toString().contains("has drained: 200 finished"), rig.logged.toString());
+        }
+    }
+
+    @Test
+    void aDrainEndsAtItsBoundAndSaysWhatItBrokeOff() throws Exception {
+        try (Rig rig = new Rig(1, "drain \"1s\"")) {
+            rig.nodes.get(0).always("/", Told.of(Deed.HANG));
+            Caller c = rig.caller();
+            c.send("GET", "/quote");
+            c.until(() -> rig.ran("/quote") == 1, "it hangs");
+            rig.front.drain();
+            rig.front.awaitDrained();
+            assertTrue(rig.logged.toString().contains("1 broken off after 1000 ms"), rig.logged.toString());
+        }
+    }
+
+    @Test
+    void aHostThatHangsIsAnsweredForAtTheTimeoutAndNotLater() throws IOException {
+        try (Rig rig = new Rig(1)) {
+            rig.nodes.get(0).always("/", Told.of(Deed.HANG));
+            long from = System.nanoTime();
+            Caller.Answer a = rig.caller().call("POST", "/assign");
+            assertEquals(504, a.status);
+            double ms = (System.nanoTime() - from) / 1e6;
+            assertTrue(ms > 3900 && ms < 6000, ms + " ms for a timeout of 4 s");
+            assertNotNull(a.fields);
+        }
+    }
+}
--- /dev/null
+++ b/src/test/java/linenring/front/Rig.java
@@ -0,0 +1,148 @@
+package linenring.front;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.stream.IntStream;
+import linenring.exchange.Exchange;
+import linenring.exchange.Stream;
+import linenring.figures.Names;
+import linenring.front.settings.FrontPlan;
+import linenring.front.settings.PlanText;
+import linenring.log.Log;
+import linenring.message.Arrival;
+import linenring.message.HostList;
+import linenring.message.Order;
+import linenring.plan.Orders.FurtherTries;
+import linenring.plan.StartFigures.Measure;
+import linenring.standin.Caller;
+import linenring.standin.Node;
+
+/** A front, stand-in nodes of zones a and b by turns, and a steward that orders what the story says. */
+final class Rig implements AutoCloseable, Exchange.Taker {
+    static final Names NAMES = new Names(List.of("a", "b"), List.of("std"), List.of("quote", "book", "assign"), 4, 4);
+    static final String PLAN = """
+            front {
+                listen "127.0.0.1:0"
+                proxy id=0 zone="a"
+                mark-header "x-mark"
+                operation "quote" effect="idempotent" objective="500ms" timeout="4s"
+                operation "book" effect="fingerprinted" group="zone" window="2.5s" objective="500ms" timeout="4s"
+                operation "assign" effect="side-effecting" objective="500ms" timeout="4s"
+                route "GET" "/quote" operation="quote"
+                route "POST" "/quote" operation="quote"
+                route "HEAD" "/quote" operation="quote"
+                route "POST" "/book" operation="book"
+                route "POST" "/assign" operation="assign"
+                report "50ms"
+                %s
+            }
+            """;
+
+    final List<Node> nodes = new ArrayList<>();
+    final List<Caller> callers = new ArrayList<>();
+    final Exchange exchange = new Exchange();
+    final ByteArrayOutputStream logged = new ByteArrayOutputStream();
+    final List<Arrival> heard = Collections.synchronizedList(new ArrayList<>());
+    final Front front;
+    private volatile Stream stream;
+    private int mark;
+
+    Rig(int nodes) throws IOException {
+        this(nodes, "");
+    }
+
+    /** With further lines of settings. */
+    Rig(int count, String more) throws IOException {
+        for (int h = 0; h < count; h++) {
+            nodes.add(new Node());
+        }
+        FrontPlan plan = PlanText.plan(String.format(PLAN, more), NAMES);
+        Front.Opened opened = Front.open(plan, Measure.SHARE, list(), exchange, new Log(new PrintStream(logged, true)));
+        if (opened.front() == null) {
+            throw new IOException(opened.fault());
+        }
+        front = opened.front();
+        exchange.drain(this);
+        all(FurtherTries.ONE_ON_PROOF);
+    }
+
+    HostList list() {
+        return new HostList(1, true, IntStream.range(0, nodes.size()).mapToObj(h -> new HostList.Entry("s-" + h, h % 2, 0,
+                HostList.State.READY, 1, 0, nodes.get(h).address(), -1)).toList());
+    }
+
+    /** All nodes with equal weight, and this way to try again, in force when it returns. */
+    void all(FurtherTries tries) {
+        table(IntStream.range(0, nodes.size()).toArray(), 1, tries);
+    }
+
+    void table(int[] hosts, double level, FurtherTries tries) {
+        order(new Order.Part(List.of(), true, IntStream.of(hosts).mapToObj(h -> new Order.Line("s-" + h, 1)).toList(),
+                new Order.Level(level, tries.ordinal()), List.of(), List.of(), ++mark));
+    }
+
+    void shutOut(String... words) {
+        order(new Order.Part(List.of(), false, List.of(), null, List.of(words), List.of(), ++mark));
+    }
+
+    private void order(Order.Part part) {
+        stream.write(new Order(List.of(part)));
+        int asked = mark;
+        Caller.awaiting(this, () -> {
+            exchange.drain(this);
+            return heard.stream().anyMatch(a -> a instanceof Arrival.Applied done && done.mark() == asked);
+        }, "mark " + asked + " is answered");
+    }
+
+    Caller caller(int... settings) throws IOException {
+        Caller c = new Caller(front.port(), settings);
+        callers.add(c);
+        return c;
+    }
+
+    int ran(String path) {
+        return nodes.stream().mapToInt(n -> n.ran(path)).sum();
+    }
+
+    int marked(String word) {
+        return nodes.stream().mapToInt(n -> n.marked(word)).sum();
+    }
+
+    @Override
+    public void arrived(Stream from, Arrival what) {
+        if (what instanceof Arrival.Joining) {
+            stream = from;
+        }
+        heard.add(what);
+    }
+
+    @Override
+    public void silent(Stream which) {
+        throw new AssertionError("a front in the process is never silent");
+    }
+
+    @Override
+    public void ended(Stream which) {
+        stream = null;
+    }
+
+    @Override
+    public void listed(HostList list) {
+        // the front hears of it by itself
+    }
+
+    @Override
+    public void close() throws IOException {
+        for (Caller c : callers) {
+            c.close();
+        }
+        front.close();
+        for (Node n : nodes) {
+            n.close();
+        }
+    }
+}
--- a/src/test/java/linenring/routing/PoolTest.java
+++ b/src/test/java/linenring/routing/PoolTest.java
@@ -14,7 +14,7 @@
 import org.junit.jupiter.api.Test;
 
 class PoolTest {
-    private final Pool<String, Integer> pool = new Pool<>(new Pool.Bounds(2, 5, 15_000, 100, 1000));
+    private final Pool<String, Integer> pool = new Pool<>(new Pool.Bounds(2, 1, 5, 15_000, 100, 1000));
 
     private boolean opens(int who, double now) {
         return assertInstanceOf(Pool.Grant.Wait.class, pool.want(who, now)).open();
@@ -94,7 +94,7 @@
     /** No stream over what a connection takes, no more connections than the most, nobody forgotten. */
     @Property(tries = 500, seed = "1")
     void boundsHoldInAnyOrderOfEvents(@ForAll @IntRange(max = 1 << 24) int seed) {
-        Pool<String, Integer> pool = new Pool<>(new Pool.Bounds(2, 5, 15_000, 100, 1000));
+        Pool<String, Integer> pool = new Pool<>(new Pool.Bounds(2, 1, 5, 15_000, 100, 1000));
         Random chance = new Random(seed);
         Map<String, Integer> running = new HashMap<>();
         int opening = 0, next = 0, waiting = 0;
