Sub-commands, a front beside the steward in serve, structured logging, checked settings

Need: the front must be reached from the command line, checked before it runs, and logged in a form that machines read; serve alone must start as quickly as before.

--- a/example/Toy.java
+++ b/example/Toy.java
@@ -17,8 +17,8 @@
 
 /**
  * Everything that stands around a steward, as a toy: discovery with four hosts, two proxies and a collector. No
- * invocation is made; what the hosts are said to have met is invented here, and commands change it. Start it with
- * {@code java example/Toy.java}, then a steward with example/configuration.json; type {@code help}.
+ * invocation is made; what the hosts are said to have met is invented here, and commands change it. Host s-N is listed at
+ * 127.0.0.1:900N, for whoever wants to send there. Start it with {@code java example/Toy.java}, then a steward with example/configuration.json; type {@code help}.
  */
 public final class Toy {
     private static final String STEWARD = "127.0.0.1";
@@ -58,7 +58,8 @@
         hosts.forEach((id, h) -> {
             if (whole || h.version > from) {
                 text.append(text.length() > 0 ? "," : "").append("{\"id\":\"").append(id)
-                        .append("\",\"addr\":\"127.0.0.1:9\",\"zone\":\"").append(h.zone)
+                        .append("\",\"addr\":\"127.0.0.1:900").append(id.substring(id.length() - 1)) // where a node may stand
+                        .append("\",\"zone\":\"").append(h.zone)
                         .append("\",\"kind\":\"small\",\"cell\":0,\"state\":\"").append(h.state)
                         .append("\",\"weight\":1.0,\"started_ms\":").append(h.started).append('}');
             }
--- /dev/null
+++ b/src/main/java/linenring/command/Subcommands.java
@@ -0,0 +1,135 @@
+package linenring.command;
+
+import java.io.IOException;
+import java.nio.file.Path;
+import java.util.ArrayList;
+import java.util.HashMap;
+import java.util.List;
+import java.util.Locale;
+import java.util.Map;
+import java.util.concurrent.Callable;
+import java.util.concurrent.TimeUnit;
+import linenring.configuration.Assignment;
+import linenring.configuration.AssignmentReader;
+import linenring.figures.Names;
+import linenring.front.settings.FrontPlanReader;
+import linenring.kdl.Units;
+import linenring.standin.Node;
+import linenring.wirehost.WireHost;
+import picocli.CommandLine;
+import picocli.CommandLine.Command;
+import picocli.CommandLine.Option;
+import picocli.CommandLine.Parameters;
+import picocli.CommandLine.Spec;
+
+/** The subcommands. Exit codes: 0, 2 for usage, 3 for settings at fault, 4 where it cannot start. */
+@Command(name = "linenring", mixinStandardHelpOptions = true, versionProvider = Subcommands.Version.class,
+        synopsisSubcommandLabel = "SUBCOMMAND",
+        description = "A central planner that writes the tables of plain proxies.")
+public final class Subcommands implements Callable<Integer> {
+    private static final int USAGE = 2;
+
+    @Spec
+    private CommandLine.Model.CommandSpec spec;
+
+    public static int run(String... args) {
+        return new CommandLine(new Subcommands()).setCaseInsensitiveEnumValuesAllowed(true).execute(args);
+    }
+
+    /** The release, from the jar's manifest. */
+    static final class Version implements CommandLine.IVersionProvider {
+        @Override
+        public String[] getVersion() {
+            String version = Subcommands.class.getPackage().getImplementationVersion();
+            return new String[] {"linenring " + (version == null ? "(not from a jar)" : version)};
+        }
+    }
+
+    @Override
+    public Integer call() {
+        spec.commandLine().usage(System.err);
+        return USAGE;
+    }
+
+    @Command(name = "serve", mixinStandardHelpOptions = true,
+            description = "Be a steward on sockets, as GW_CONFIG and the environment say.")
+    int serve(
+            @Option(names = "--front", paramLabel = "FILE",
+                    description = "also take invocations over HTTP/2, as this file says (docs/front.md)") Path front,
+            @Option(names = "--log", paramLabel = "FORM", defaultValue = "text",
+                    description = "text or json: how lines are written to standard error (text)") Form log) {
+        return Serve.run(front, log == Form.JSON);
+    }
+
+    /** How the log is written. */
+    enum Form { TEXT, JSON }
+
+    @Command(name = "wirehost", mixinStandardHelpOptions = true,
+            description = "Decide over the simulator's wire on standard input and output.")
+    int wirehost() throws IOException {
+        return WireHost.run(System.in, System.out, System.err);
+    }
+
+    @Command(name = "check", mixinStandardHelpOptions = true,
+            description = "Read a front's settings, and the steward's where GW_CONFIG names them; say what is wrong.")
+    int check(@Parameters(paramLabel = "FILE", description = "the front's settings") Path file) {
+        return check(file, System.getenv());
+    }
+
+    static int check(Path file, Map<String, String> environment) {
+        Names names = null;
+        if (environment.containsKey("GW_CONFIG")) {
+            Assignment.Outcome told = AssignmentReader.read(environment);
+            if (told.assignment() == null) {
+                System.err.println("linenring: " + told.fault());
+                return Serve.CONFIGURATION;
+            }
+            names = told.assignment().names();
+        }
+        FrontPlanReader.Outcome read = FrontPlanReader.read(file, names);
+        read.faults().forEach(System.err::println);
+        if (read.plan() == null) {
+            return Serve.CONFIGURATION;
+        }
+        System.out.println(file + ": no fault found" + (names == null ? "; the steward's names were not checked, as"
+                + " GW_CONFIG is not set" : ""));
+        return 0;
+    }
+
+    @Command(name = "node", mixinStandardHelpOptions = true,
+            description = "Be a stand-in for a host, to try a front by hand: HTTP/2 with prior knowledge on loopback.")
+    int node(
+            @Option(names = "--port", paramLabel = "PORT", required = true, split = ",",
+                    description = "where it listens; one node for each of several") List<Integer> ports,
+            @Option(names = "--fault", paramLabel = "DEED", defaultValue = "ANSWER", description =
+                    "what it does with each invocation: ${COMPLETION-CANDIDATES} (${DEFAULT-VALUE})") Node.Deed fault,
+            @Option(names = "--after", paramLabel = "DURATION", defaultValue = "0ms",
+                    description = "after how long, such as 150ms (${DEFAULT-VALUE})") String after,
+            @Option(names = "--bytes", paramLabel = "COUNT", defaultValue = "2",
+                    description = "of an answer's body (${DEFAULT-VALUE})") int bytes) throws InterruptedException {
+        if (!after.matches(Units.DURATION)) {
+            throw new CommandLine.ParameterException(spec.commandLine(), "--after: '" + after
+                    + "' is not a duration with its unit, such as 150ms");
+        }
+        List<Node> nodes = new ArrayList<>();
+        for (int port : ports) {
+            try {
+                nodes.add(new Node(port).always("/", Node.Told.of(fault).after((long) Units.millis(after)).bytes(bytes)));
+                System.out.println("node at 127.0.0.1:" + port + ": " + fault.name().toLowerCase(Locale.ROOT));
+            } catch (IOException e) {
+                System.err.println("linenring: cannot listen at 127.0.0.1:" + port + ": " + e.getMessage());
+                return Serve.CANNOT_START;
+            }
+        }
+        Map<Node, Integer> told = new HashMap<>();
+        while (true) { // until it is ended
+            TimeUnit.SECONDS.sleep(1);
+            for (Node n : nodes) {
+                Integer before = told.put(n, n.arrived());
+                if (n.arrived() > (before == null ? 0 : before)) {
+                    System.out.println(n.address() + " ran " + n.ran() + " of " + n.arrived() + " that came");
+                }
+            }
+        }
+    }
+}
--- a/src/main/java/linenring/front/Front.java
+++ b/src/main/java/linenring/front/Front.java
@@ -12,7 +12,6 @@
 import linenring.exchange.Exchange;
 import linenring.front.settings.FrontPlan;
 import linenring.log.Log;
-import linenring.message.HostList;
 import linenring.plan.StartFigures.Measure;
 import linenring.routing.Attempt;
 import linenring.routing.HostBook;
@@ -58,7 +57,7 @@
     private final FrontPlan plan;
     private final Log log;
     private final Routes routes;
-    private final HostBook hosts = new HostBook();
+    private final HostBook hosts;
     private final Tables tables;
     private final Sums sums;
     private final Tries.Terrain terrain;
@@ -79,8 +78,9 @@
     private ServerConnector connector;
     private Membership membership;
 
-    private Front(FrontPlan plan, Measure measure, long seed, Log log) {
+    private Front(FrontPlan plan, Measure measure, HostBook hosts, long seed, Log log) {
         this.plan = plan;
+        this.hosts = hosts;
         this.log = log;
         routes = new Routes(plan.routes());
         List<String> operations = plan.operations().stream().map(Terms::operation).toList();
@@ -105,12 +105,12 @@
         }
     }
 
-    /** Listens and joins the steward; {@code known} is the list as it was last known, or null. */
-    public static Opened open(FrontPlan plan, Measure measure, HostList known, Exchange exchange, Log log) {
-        Front front = new Front(plan, measure, System.nanoTime(), log);
+    /** Listens and joins the steward; {@code hosts} follows the list from its beginning. */
+    public static Opened open(FrontPlan plan, Measure measure, HostBook hosts, Exchange exchange, Log log) {
+        Front front = new Front(plan, measure, hosts, System.nanoTime(), log);
         Opened.Reached reached = Opened.Reached.STARTED;
         try {
-            front.start(exchange, known);
+            front.start(exchange);
             reached = Opened.Reached.LISTENING;
             front.membership.join();
             front.membership.report();
@@ -123,7 +123,7 @@
         }
     }
 
-    private void start(Exchange exchange, HostList known) throws Exception {
+    private void start(Exchange exchange) throws Exception {
         threads = new QueuedThreadPool(THREADS_MOST, 4);
         threads.setName("front");
         threads.setDaemon(true);
@@ -162,10 +162,7 @@
         client.setStreamIdleTimeout(-1);
         threads.start();
         client.start();
-        if (known != null) {
-            listed(known);
-        }
-        exchange.follow(this::listed);
+        exchange.follow(list -> tablesChanged()); // the book has it by then
         membership = new Membership(plan, exchange, tables, sums, this::now, threads, scheduler, this::tablesChanged, log);
         server.start();
     }
@@ -256,7 +253,9 @@
 
         @Override
         public void onFailure(Session session, Throwable failure, Callback callback) {
-            log.info("client", session.getRemoteSocketAddress() + " failed: " + failure.getMessage());
+            if (failure.getMessage() != null) { // else it has only closed its connection
+                log.info("client", session.getRemoteSocketAddress() + " failed: " + failure.getMessage());
+            }
             closed(session);
             callback.succeeded();
         }
@@ -308,11 +307,6 @@
 
     // ---- tables, hosts, time
 
-    private void listed(HostList list) {
-        hosts.listed(list);
-        tablesChanged();
-    }
-
     private void tablesChanged() {
         links.forEach((host, link) -> link.retire(!hosts.host(host).isListed() || !tables.isUsed(host)));
     }
--- a/src/main/java/linenring/log/Log.java
+++ b/src/main/java/linenring/log/Log.java
@@ -2,8 +2,6 @@
 
 import java.io.PrintStream;
 import java.time.Instant;
-import java.time.ZoneOffset;
-import java.time.format.DateTimeFormatter;
 import java.util.HashMap;
 import java.util.Map;
 
@@ -15,19 +13,21 @@
     private static final int MOST = 20;          // enough for each proxy of a fleet to be told of once
     private static final long SPAN_MS = 10_000;  // a page of the log stays readable at 2 lines a second
 
-    private static final DateTimeFormatter TIME =
-            DateTimeFormatter.ofPattern("uuuu-MM-dd'T'HH:mm:ss.SSS'Z'").withZone(ZoneOffset.UTC);
-
     private static final class Told {
         long since;
         int lines;
     }
 
-    private final PrintStream out;
+    private final Sink sink;
     private final Map<String, Told> told = new HashMap<>(); // by subject, of which there are a few, all ours
 
+    /** Writes text. */
     public Log(PrintStream out) {
-        this.out = out;
+        this(new TextSink(out));
+    }
+
+    public Log(Sink sink) {
+        this.sink = sink;
     }
 
     public void info(String subject, String words) {
@@ -54,12 +54,11 @@
         if (t.lines++ >= MOST) {
             return;
         }
-        StringBuilder line = new StringBuilder().append(TIME.format(now)).append(' ')
-                .append(level).append(' ').append(subject).append(' ');
+        StringBuilder line = new StringBuilder(words.length());
         for (int i = 0; i < words.length(); i++) { // one line each, whatever a stranger sent
             char c = words.charAt(i);
             line.append(c < ' ' || c == 0x7f ? '?' : c);
         }
-        out.println(held == 0 ? line : line.append(" (").append(held).append(" more were not written)"));
+        sink.write(now, level, subject, line.toString(), held);
     }
 }
--- a/src/test/java/linenring/MainTest.java
+++ b/src/test/java/linenring/command/ServeTest.java
@@ -1,4 +1,4 @@
-package linenring;
+package linenring.command;
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -13,11 +13,11 @@
 import org.junit.jupiter.api.Test;
 import sun.misc.Signal;
 
-class MainTest {
+class ServeTest {
     @Test
     void aFaultyConfigurationIsOneLineAndTheOldOneGoesOn() {
         ByteArrayOutputStream logged = new ByteArrayOutputStream();
-        Main.reload(null, AssignmentReader.read(Map.of("GW_CONFIG", "/nowhere/at/all")), null, // neither is touched
+        Serve.reload(null, AssignmentReader.read(Map.of("GW_CONFIG", "/nowhere/at/all")), null, // neither is touched
                 new Log(new PrintStream(logged, true)));
         assertEquals(1, logged.toString().lines().count());
         assertTrue(logged.toString().endsWith(" WARN reload goes on as before: GW_CONFIG: cannot read /nowhere/at/all\n"));
@@ -27,7 +27,7 @@
     @Test
     void aHangUpIsActedOnAndEndsNothing() throws Exception {
         CountDownLatch both = new CountDownLatch(2);
-        Main.onHangUp(both::countDown);
+        Serve.onHangUp(both::countDown);
         Signal.raise(new Signal("HUP"));
         for (int i = 0; i < 2000 && both.getCount() > 1; i++) {
             TimeUnit.MILLISECONDS.sleep(10); // signals of one kind that come at once are one
--- a/src/test/java/linenring/front/Rig.java
+++ b/src/test/java/linenring/front/Rig.java
@@ -18,6 +18,7 @@
 import linenring.message.Order;
 import linenring.plan.Orders.FurtherTries;
 import linenring.plan.StartFigures.Measure;
+import linenring.routing.HostBook;
 import linenring.standin.Caller;
 import linenring.standin.Node;
 
@@ -61,7 +62,10 @@
             nodes.add(new Node());
         }
         FrontPlan plan = PlanText.plan(String.format(PLAN, more), NAMES);
-        Front.Opened opened = Front.open(plan, Measure.SHARE, list(), exchange, new Log(new PrintStream(logged, true)));
+        HostBook book = new HostBook();
+        book.listed(list());
+        exchange.follow(book::listed);
+        Front.Opened opened = Front.open(plan, Measure.SHARE, book, exchange, new Log(new PrintStream(logged, true)));
         if (opened.front() == null) {
             throw new IOException(opened.fault());
         }
