--- a/src/main/java/linenring/front/Door.java
+++ b/src/main/java/linenring/front/Door.java
@@ -39,7 +39,7 @@
     public Connection newConnection(Connector connector, EndPoint endPoint) {
         long idle = endPoint.getIdleTimeout();
         endPoint.setIdleTimeout(SILENT_MS);
-        return new Knock(connector, endPoint, idle);
+        return configure(new Knock(connector, endPoint, idle), connector, endPoint);
     }
 
     private final class Knock extends AbstractConnection {
--- a/src/main/java/linenring/standin/FrameLink.java
+++ b/src/main/java/linenring/standin/FrameLink.java
@@ -53,6 +53,7 @@
         in = new DataInputStream(new BufferedInputStream(socket.getInputStream(), 1 << 16));
         out = socket.getOutputStream();
         encoder.setTableCapacity(0);
+        encoder.setMaxHeaderListSize(HEADERS_MOST);
     }
 
     /** The next frame; null at the end. */
--- a/src/main/java/linenring/standin/Node.java
+++ b/src/main/java/linenring/standin/Node.java
@@ -12,6 +12,7 @@
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicLong;
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.MetaData;
 
@@ -80,6 +81,7 @@
     private final Map<String, Integer> ran = new TreeMap<>();           // by path
     private final Map<String, Integer> marks = new TreeMap<>();         // by mark, repeats dropped included
     private final Map<String, Long> bodies = new ConcurrentHashMap<>(); // bytes by path
+    private final AtomicLong sent = new AtomicLong();
     private volatile int streams = 100;
     private int arrived, running;
 
@@ -149,6 +151,11 @@
         return bodies.getOrDefault(path, 0L);
     }
 
+    /** Bytes of answers' bodies that it sent. */
+    public long sentBytes() {
+        return sent.get();
+    }
+
     public int connections() {
         return connections.size();
     }
@@ -427,6 +434,7 @@
                     windows.merge(stream, -size, Integer::sum);
                 }
                 sent += size;
+                Node.this.sent.addAndGet(size);
                 link.write(FrameLink.DATA, end && sent == bytes ? FrameLink.END_STREAM : 0, stream, new byte[size]);
                 if (every > 0) {
                     TimeUnit.MILLISECONDS.sleep(every);
--- /dev/null
+++ b/src/test/java/linenring/front/BesideAStewardTest.java
@@ -0,0 +1,176 @@
+package linenring.front;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.ByteArrayOutputStream;
+import java.io.IOException;
+import java.io.PrintStream;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.stream.IntStream;
+import linenring.exchange.Exchange;
+import linenring.front.settings.PlanText;
+import linenring.log.Log;
+import linenring.message.HostList;
+import linenring.plan.StartFigures;
+import linenring.routing.HostBook;
+import linenring.standin.Caller;
+import linenring.standin.Node;
+import linenring.standin.Node.Deed;
+import linenring.standin.Node.Told;
+import linenring.steward.Steward;
+import org.junit.jupiter.api.AfterEach;
+import org.junit.jupiter.api.BeforeEach;
+import org.junit.jupiter.api.Test;
+import org.junit.jupiter.api.Timeout;
+
+/** The whole of it: the decisions, a steward's thread, a front that is its only proxy, stand-in nodes. */
+@Timeout(90)
+class BesideAStewardTest {
+    private final List<Node> nodes = new ArrayList<>();
+    private final ByteArrayOutputStream logged = new ByteArrayOutputStream();
+    private final Log log = new Log(new PrintStream(logged, true));
+    private final Exchange exchange = new Exchange();
+    private Thread thread;
+    private Front front;
+    private long version;
+
+    @BeforeEach
+    void opens() throws IOException {
+        StartFigures.Operation open = new StartFigures.Operation(500, 1, -1, -1, false, 2);
+        StartFigures figures = new StartFigures(List.of(open, open, open), new StartFigures.ColdStart(0.2, 1000),
+                new StartFigures.Channel(5000, 4, 5000, 0, 10_000, 10, 50, 1000),
+                new StartFigures.Slices(0, false, 0, 0), StartFigures.Measure.SHARE, false, 0, false, 6);
+        for (int h = 0; h < 4; h++) {
+            nodes.add(new Node());
+        }
+        HostBook book = new HostBook();
+        exchange.follow(book::listed);
+        Steward steward = new Steward(figures, Rig.NAMES, null, exchange, log);
+        thread = new Thread(steward::run, "steward");
+        thread.setDaemon(true);
+        thread.start();
+        list(HostList.State.READY, 0, 1, 2, 3);
+        front = Front.open(PlanText.plan(String.format(Rig.PLAN, "avoid after=0"), Rig.NAMES),
+                StartFigures.Measure.SHARE, book, exchange, log).front();
+    }
+
+    @AfterEach
+    void closes() throws IOException {
+        front.close();
+        thread.interrupt();
+        for (Node n : nodes) {
+            n.close();
+        }
+    }
+
+    private void list(HostList.State state, int... hosts) {
+        version++;
+        exchange.listed(new HostList(version, version == 1, IntStream.of(hosts).mapToObj(h -> new HostList.Entry("s-" + h,
+                h % 2, 0, state, 1, Double.NEGATIVE_INFINITY, nodes.get(h).address(), -1)).toList()));
+    }
+
+    private Caller served() throws IOException {
+        Caller c = new Caller(front.port());
+        Caller.awaiting(this, () -> {
+            try {
+                return c.call("GET", "/quote").status == 200;
+            } catch (IOException e) {
+                throw new AssertionError(e);
+            }
+        }, "the first table has come");
+        return c;
+    }
+
+    @Test
+    void aHostThatIsListedAsDrainingGetsNothingOnceTheOrderIsInForceAndTheRestGoesOn() throws IOException {
+        try (Caller c = served()) {
+            list(HostList.State.TERMINATING, 0);
+            int[] last = {-1};
+            Caller.awaiting(this, () -> { // 40 in a row without it; of four equal hosts that is chance once in 100,000
+                int before = nodes.get(0).ran("/quote");
+                for (int i = 0; i < 40; i++) {
+                    try {
+                        assertEquals(200, c.call("GET", "/quote").status);
+                    } catch (IOException e) {
+                        throw new AssertionError(e);
+                    }
+                }
+                last[0] = nodes.get(0).ran("/quote");
+                return before == last[0];
+            }, "s-0 is left alone");
+            for (int i = 0; i < 100; i++) {
+                assertEquals(200, c.call("GET", "/quote").status);
+            }
+            assertEquals(last[0], nodes.get(0).ran("/quote"));
+        }
+    }
+
+    /** The front avoids nobody by itself here: it is its sums by which the decisions shut the host out. */
+    @Test
+    void aHostThatErrorsIsShutOutByTheDecisionsThroughTheFrontsOwnSums() throws IOException {
+        try (Caller c = served()) {
+            nodes.get(1).always("/", Told.of(Deed.ERROR));
+            Caller.awaiting(this, () -> {
+                int errored = 0;
+                for (int i = 0; i < 40; i++) {
+                    try {
+                        errored += c.call("GET", "/quote").status == 200 ? 0 : 1;
+                    } catch (IOException e) {
+                        throw new AssertionError(e);
+                    }
+                }
+                return errored == 0;
+            }, "s-1 is shut out");
+        }
+    }
+
+    @Test
+    void whereAllHostsDrainTheAnswerIsAtOnceAndServiceReturnsWithThem() throws IOException {
+        try (Caller c = served()) {
+            list(HostList.State.TERMINATING, 0, 1, 2, 3);
+            Caller.awaiting(this, () -> {
+                try {
+                    return c.call("GET", "/quote").status == 503;
+                } catch (IOException e) {
+                    throw new AssertionError(e);
+                }
+            }, "nothing can be picked");
+            long from = System.nanoTime();
+            assertEquals(503, c.call("POST", "/assign").status);
+            assertTrue(System.nanoTime() - from < 1_000_000_000L);
+            list(HostList.State.READY, 0, 1, 2, 3);
+            served().close();
+        }
+    }
+
+    @Test
+    void whereTheStewardIsGoneTheFrontGoesOnWithWhatItHolds() throws Exception {
+        try (Caller c = served()) {
+            thread.interrupt();
+            thread.join();
+            for (int i = 0; i < 200; i++) {
+                assertEquals(200, c.call("GET", "/quote").status);
+            }
+            assertTrue(nodes.stream().allMatch(n -> n.ran("/quote") > 10));
+        }
+    }
+
+    @Test
+    void aDrainOfTheFrontWhileAHostDrainsFinishesBoth() throws Exception {
+        try (Caller c = served()) {
+            nodes.forEach(n -> n.always("/assign", Told.of(Deed.ANSWER).after(600)));
+            List<Integer> streams = new ArrayList<>();
+            for (int i = 0; i < 60; i++) {
+                streams.add(c.send("POST", "/assign"));
+            }
+            c.until(() -> nodes.stream().mapToInt(n -> n.ran("/assign")).sum() == 60, "all run");
+            list(HostList.State.TERMINATING, 2, 3);
+            front.drain();
+            front.awaitDrained();
+            streams.forEach(s -> assertEquals(200, c.await(s).status));
+            assertEquals(60, nodes.stream().mapToInt(n -> n.ran("/assign")).sum());
+        }
+    }
+}
