load: calls at a steady rate or so many at a time; an answer before its request is told as sent

Cause of what it found: about 1 in 20,000 answers was reset under load. The answer's head can come before Jetty tells that the request's head was written; the attempt then took its stream for one that nobody waits for, and cancelled it.

Change: linenring load (open loop counts from when a call was due; HdrHistogram); the attempt takes the stream from the answer, a finished exchange is not cancelled; an answer that breaks off, and a fault in one invocation, have a log line.

The race can't be forced on a socket, so it has no story of its own.

--- a/src/main/java/linenring/command/Subcommands.java
+++ b/src/main/java/linenring/command/Subcommands.java
@@ -14,6 +14,7 @@
 import linenring.figures.Names;
 import linenring.front.settings.FrontPlanReader;
 import linenring.kdl.Units;
+import linenring.load.Load;
 import linenring.standin.Node;
 import linenring.wirehost.WireHost;
 import picocli.CommandLine;
@@ -28,6 +29,7 @@
         description = "A central planner that writes the tables of plain proxies.")
 public final class Subcommands implements Callable<Integer> {
     private static final int USAGE = 2;
+    private static final long LOAD_WAIT_MS = 5000; // past any integration timeout in use
 
     @Spec
     private CommandLine.Model.CommandSpec spec;
@@ -103,6 +105,8 @@
                     description = "where it listens; one node for each of several") List<Integer> ports,
             @Option(names = "--fault", paramLabel = "DEED", defaultValue = "ANSWER", description =
                     "what it does with each invocation: ${COMPLETION-CANDIDATES} (${DEFAULT-VALUE})") Node.Deed fault,
+            @Option(names = "--path", paramLabel = "PATH", defaultValue = "/",
+                    description = "to those whose path begins so; others are answered (${DEFAULT-VALUE})") String path,
             @Option(names = "--after", paramLabel = "DURATION", defaultValue = "0ms",
                     description = "after how long, such as 150ms (${DEFAULT-VALUE})") String after,
             @Option(names = "--bytes", paramLabel = "COUNT", defaultValue = "2",
@@ -114,7 +118,8 @@
         List<Node> nodes = new ArrayList<>();
         for (int port : ports) {
             try {
-                nodes.add(new Node(port).always("/", Node.Told.of(fault).after((long) Units.millis(after)).bytes(bytes)));
+                nodes.add(new Node(port).streams(1000).always(path, Node.Told.of(fault).after((long) Units.millis(after))
+                        .bytes(bytes)));
                 System.out.println("node at 127.0.0.1:" + port + ": " + fault.name().toLowerCase(Locale.ROOT));
             } catch (IOException e) {
                 System.err.println("linenring: cannot listen at 127.0.0.1:" + port + ": " + e.getMessage());
@@ -132,4 +137,45 @@
             }
         }
     }
+
+    @Command(name = "load", mixinStandardHelpOptions = true,
+            description = "Call an HTTP/2 port on loopback at a steady rate, or so many calls at a time, and tell latencies.")
+    int load(
+            @Parameters(paramLabel = "IP:PORT", description = "the port, on loopback") String at,
+            @Option(names = "--call", paramLabel = "NAME=METHOD:PATH[:PART]", required = true,
+                    description = "a sort of call and its part of all (1)") Map<String, String> calls,
+            @Option(names = "--marked", split = ",", paramLabel = "NAME", defaultValue = "",
+                    description = "calls that carry a mark of their own in x-mark") List<String> marked,
+            @Option(names = "--rate", paramLabel = "N", defaultValue = "0", description = "calls a second") double rate,
+            @Option(names = "--at-a-time", paramLabel = "N", defaultValue = "1",
+                    description = "without a rate: how many calls run at a time (${DEFAULT-VALUE})") int atATime,
+            @Option(names = "--connections", paramLabel = "N", defaultValue = "1",
+                    description = "over so many connections (${DEFAULT-VALUE})") int connections,
+            @Option(names = "--for", paramLabel = "DURATION", defaultValue = "10s",
+                    description = "how long (${DEFAULT-VALUE})") String length,
+            @Option(names = "--warm", paramLabel = "DURATION", defaultValue = "2s",
+                    description = "how long before that, uncounted (${DEFAULT-VALUE})") String warm,
+            @Option(names = "--seed", paramLabel = "N", defaultValue = "1", description = "of the mix") long seed)
+            throws InterruptedException {
+        if (!length.matches(Units.DURATION) || !warm.matches(Units.DURATION) || !at.matches("127[0-9.]+:[0-9]+")) {
+            throw new CommandLine.ParameterException(spec.commandLine(),
+                    "a duration has its unit, such as 10s, and the port is on loopback: 127.0.0.1:PORT");
+        }
+        List<Load.Call> mix = new ArrayList<>();
+        calls.forEach((name, told) -> {
+            String[] parts = told.split(":");
+            mix.add(new Load.Call(name, parts[0], parts.length > 1 ? parts[1] : "/",
+                    parts.length > 2 ? Double.parseDouble(parts[2]) : 1, marked.contains(name)));
+        });
+        int colon = at.lastIndexOf(':');
+        try {
+            System.out.print(Load.table(Load.run(new Load.Plan(at.substring(0, colon),
+                    Integer.parseInt(at.substring(colon + 1)), mix, rate, atATime, connections,
+                    Units.millis(length) / 1000, Units.millis(warm) / 1000, LOAD_WAIT_MS, seed))));
+            return 0;
+        } catch (IOException e) {
+            System.err.println("linenring: " + at + ": " + e.getMessage());
+            return Serve.CANNOT_START;
+        }
+    }
 }
--- a/src/main/java/linenring/front/Front.java
+++ b/src/main/java/linenring/front/Front.java
@@ -216,6 +216,17 @@
                 + client.getId() + " reset");
     }
 
+    void brokeOff(int operation, int host, Attempt how) {
+        counts[operation][1].incrementAndGet();
+        log.warn("front", "host " + hosts.host(host).id() + " broke off in its answer to "
+                + tables.operations().get(operation) + ": " + how.why().name().toLowerCase(java.util.Locale.ROOT));
+    }
+
+    void fault(RuntimeException e) {
+        StackTraceElement[] trace = e.getStackTrace();
+        log.error("fault", e + (trace.length > 0 ? " at " + trace[0] : ""));
+    }
+
     void ended(Invocation invocation, Stream stream, long reserved) {
         if (running.remove(invocation)) {
             runningCount.decrementAndGet();
--- a/src/main/java/linenring/front/Invocation.java
+++ b/src/main/java/linenring/front/Invocation.java
@@ -54,7 +54,15 @@
     }
 
     private void then(Runnable what) {
-        line.run(what);
+        line.run(() -> {
+            try {
+                what.run();
+            } catch (RuntimeException e) { // no fault in one invocation reaches another
+                front.fault(e);
+                tries.abandoned();
+                breakOff(ErrorCode.INTERNAL_ERROR);
+            }
+        });
     }
 
     void begin() {
@@ -180,6 +188,8 @@
         private Stream stream;          // null until the request's head was sent
         private boolean ended;          // told to the tries, or nobody's business any more
         private boolean headSent, writing, demanded;
+        private boolean sentAll;        // of the request: its end was handed to Jetty
+        private boolean answerWhole;
         private boolean begun;          // its answer's head has come
         private boolean reading;        // of the answer, under way
         private int sentAgain;          // bytes of the kept body that went out again
@@ -210,6 +220,7 @@
                 }
                 boolean nothingFollows = kept.hasEnded() && again.length == 0 && trailers == null;
                 headSent = true;
+                sentAll = nothingFollows;
                 connection.session().newStream(new HeadersFrame(request.getMetaData(), null, nothingFollows), this, this);
             });
         }
@@ -224,9 +235,9 @@
             then(() -> {
                 stream = opened;
                 opened.setIdleTimeout(-1); // the tries say how long it may take
-                if (ended) {
+                if (ended && !begun) {
                     cancel();
-                } else if (!(kept.hasEnded() && again.length == 0 && trailers == null)) {
+                } else if (!sentAll) {
                     pumpRequest();
                 }
             });
@@ -257,6 +268,7 @@
                 if (trailers != null) {
                     HttpFields last = trailers;
                     writing = true; // nothing follows
+                    sentAll = true;
                     stream.headers(new HeadersFrame(stream.getId(), new MetaData(HttpVersion.HTTP_2, last), null, true),
                             Callback.NOOP);
                 }
@@ -282,6 +294,7 @@
 
         private void write(DataFrame frame, Runnable written) {
             writing = true;
+            sentAll |= frame.isEndStream();
             stream.data(frame, Callback.from(() -> {
                 written.run();
                 then(() -> {
@@ -304,6 +317,7 @@
                 if (over || ended && !begun) {
                     return;
                 }
+                stream = from; // the answer may come before the request's head is told as sent
                 if (!(frame.getMetaData() instanceof MetaData.Response head)) {
                     answerTrailers = frame.getMetaData().getHttpFields();
                     pumpAnswer();
@@ -396,6 +410,7 @@
         }
 
         private void answerDone() {
+            answerWhole = true;
             if (!over && !requestRead) { // the host needs no more of the request, nor do we
                 client.reset(new ResetFrame(client.getId(), ErrorCode.NO_ERROR.code), Callback.NOOP);
             }
@@ -458,6 +473,7 @@
 
         private void ended(Attempt how) {
             if (begun && !over) { // the client has part of the answer
+                front.brokeOff(operation, host, how);
                 breakOff(ErrorCode.INTERNAL_ERROR);
                 return;
             }
@@ -491,7 +507,7 @@
 
         private void cancel() {
             if (stream != null) {
-                if (!stream.isReset() && !stream.isClosed()) {
+                if (!stream.isReset() && !stream.isClosed() && !(answerWhole && sentAll)) { // else it closes by itself
                     stream.reset(new ResetFrame(stream.getId(), ErrorCode.CANCEL_STREAM_ERROR.code), Callback.NOOP);
                 }
             } // it counts as running until it is closed; one that is not open yet is reset once it is
