Trailers of a request are shown to reach the host

Need: the point on trailers had a story for answers alone. Change: the stand-in host keeps the last trailers.

--- a/src/main/java/linenring/standin/Node.java
+++ b/src/main/java/linenring/standin/Node.java
@@ -82,6 +82,7 @@
     private final Map<String, Integer> marks = new TreeMap<>();         // by mark, repeats dropped included
     private final Map<String, Long> bodies = new ConcurrentHashMap<>(); // bytes by path
     private final AtomicLong sent = new AtomicLong();
+    private volatile HttpFields trailers = HttpFields.EMPTY;
     private volatile int streams = 100;
     private int arrived, running;
 
@@ -151,6 +152,11 @@
         return bodies.getOrDefault(path, 0L);
     }
 
+    /** Those of the last request that had any. */
+    public HttpFields trailers() {
+        return trailers;
+    }
+
     /** Bytes of answers' bodies that it sent. */
     public long sentBytes() {
         return sent.get();
@@ -288,7 +294,8 @@
 
         private void head(FrameLink.Frame f) throws IOException {
             MetaData decoded = link.decode(f);
-            if (!(decoded instanceof MetaData.Request request)) { // trailers
+            if (!(decoded instanceof MetaData.Request request)) {
+                trailers = decoded.getHttpFields();
                 whole(f);
                 return;
             }
--- a/src/test/java/linenring/front/FrontTest.java
+++ b/src/test/java/linenring/front/FrontTest.java
@@ -13,6 +13,9 @@
 import linenring.standin.Node;
 import linenring.standin.Node.Deed;
 import linenring.standin.Node.Told;
+import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpVersion;
+import org.eclipse.jetty.http.MetaData;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -74,6 +77,11 @@
             }
             assertEquals(200, c.await(upload).status);
             assertEquals(50_000, node.bodyBytes("/quote"));
+            int trailed = c.begin("POST", "/quote", false);
+            c.body(trailed, 10, false);
+            c.link.headers(trailed, new MetaData(HttpVersion.HTTP_2, HttpFields.build().put("x-last", "9")), true);
+            assertEquals(200, c.await(trailed).status);
+            assertEquals("9", node.trailers().get("x-last"));
             node.next(Told.of(Deed.LIE_ABOUT_LENGTH).bytes(100));
             Caller.Answer lied = c.call("GET", "/quote");
             assertTrue(lied.reset >= 0, "a body that is shorter than it says is not passed on as whole");
