upgrade: a new process shares the listener, takes over under load, and is taken back from

Need: weekend nights leave no quiet hour for an upgrade; nothing may be lost, and a new process that fails must cost nothing.

Change: the listener is the child's standard input (dup2 by JNA, found there by the JDK); linenring upgrade and SIGUSR2; a Unix-domain socket in a directory of mode 0700, the peer checked; the list goes along; proxies' streams dial again; a probation in which the old process takes the port back. The front's acceptor can be stopped and started; past its most connections the oldest that has said nothing makes room, as the library's limit closes the listener's registration instead. Off unless the front's settings name a directory.

--- /dev/null
+++ b/src/main/java/linenring/command/Instance.java
@@ -0,0 +1,175 @@
+package linenring.command;
+
+import java.lang.management.ManagementFactory;
+import java.nio.channels.ServerSocketChannel;
+import java.nio.file.Path;
+import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicBoolean;
+import linenring.configuration.Assignment;
+import linenring.configuration.AssignmentReader;
+import linenring.discovery.HostWatch;
+import linenring.exchange.Exchange;
+import linenring.front.Front;
+import linenring.front.settings.FrontPlan;
+import linenring.log.Log;
+import linenring.message.Codec;
+import linenring.message.HostList;
+import linenring.routing.HostBook;
+import linenring.steward.Steward;
+import linenring.streams.StreamServer;
+import org.eclipse.jetty.util.thread.QueuedThreadPool;
+import org.eclipse.jetty.util.thread.ScheduledExecutorScheduler;
+import sun.misc.Signal;
+
+/** One process that serves: a steward with its streams and its watch, and a front beside it where one is asked for. */
+final class Instance {
+    private static final int THREADS = 8; // two selectors, their helpers and some to spare
+    private static final long TABLES_MS = 2000; // a steward that knows a list orders within some ms of a joining
+
+    final Assignment told;
+    final FrontPlan plan;
+    final Log log;
+    private final Exchange exchange = new Exchange();
+    private final HostBook hosts = new HostBook();
+    private final QueuedThreadPool threads = new QueuedThreadPool(THREADS, 2);
+    private final ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler("timer", true);
+    private final Codec codec;
+    private Steward steward;
+    private StreamServer streams;
+    private volatile Front front;
+    private final AtomicBoolean ending = new AtomicBoolean();
+
+    Instance(Assignment told, FrontPlan plan, Log log) {
+        this.told = told;
+        this.plan = plan;
+        this.log = log;
+        codec = new Codec(told.names());
+    }
+
+    /** Serves from the start; returns the exit code where it can't. */
+    int serve() {
+        Handover handover = plan != null && plan.handover() != null ? new Handover(this, exchange, told.known()) : null;
+        try {
+            begin(told.known());
+            String fault = openStreams();
+            if (fault != null) {
+                System.err.println("linenring: cannot listen at " + at() + ", though " + fault);
+                return Serve.CANNOT_START;
+            }
+        } catch (Exception e) { // Jetty's start() may throw any
+            System.err.println("linenring: cannot start: " + e);
+            return Serve.CANNOT_START;
+        }
+        Runtime.getRuntime().addShutdownHook(new Thread(() -> log.info("steward", "is told to end")));
+        saysServes();
+        if (plan != null) { // beside the steward, whose first decisions must not wait for it
+            new Thread(() -> {
+                String fault = openFront(null, true);
+                if (fault != null) {
+                    System.err.println("linenring: " + fault);
+                    System.exit(Serve.CANNOT_START);
+                }
+                onTerm(handover);
+                if (handover != null) {
+                    handover.open();
+                }
+            }, "front-start").start();
+        }
+        steward.run();
+        return 0;
+    }
+
+    /** Takes over from the process at this socket; returns the exit code where nothing came of it. */
+    int takeOver(Path socket) {
+        return new Handover(this, exchange, told.known()).takeOver(socket);
+    }
+
+    void saysServes() {
+        log.info("steward", told.name() + " serves at " + at() + ", "
+                + ManagementFactory.getRuntimeMXBean().getUptime() + " ms after its start");
+    }
+
+    private String at() {
+        return told.listen().getAddress().getHostAddress() + ":" + told.listen().getPort();
+    }
+
+    /** The steward with this list, or null, and its watch. */
+    void begin(HostList known) throws Exception {
+        steward = new Steward(told.figures(), told.names(), known, exchange, log);
+        if (plan != null) { // the front has all that the steward decides by, before the steward does
+            if (known != null) {
+                hosts.listed(known);
+            }
+            exchange.follow(hosts::listed);
+        }
+        threads.setDaemon(true);
+        threads.start();
+        scheduler.start();
+        HostWatch watch = new HostWatch(told.discovery(), known, codec, exchange, log, threads, scheduler);
+        watch.open();
+        Serve.onHangUp(() -> Serve.reload(told, AssignmentReader.read(System.getenv()), watch, log)); // before the first PONG
+    }
+
+    void decide() {
+        steward.run();
+    }
+
+    /** Null, or how far it came and why no further. */
+    String openStreams() {
+        StreamServer.Opened opened = StreamServer.open(told.listen(), told.sockets(), codec, exchange, log, threads,
+                scheduler);
+        streams = opened.server();
+        return streams != null ? null : opened.reached().name().toLowerCase(java.util.Locale.ROOT) + ": " + opened.fault();
+    }
+
+    void closeStreams() {
+        streams.close();
+    }
+
+    /** Null, or why not. */
+    String openFront(ServerSocketChannel listener, boolean accepts) {
+        Front.Opened opened = Front.open(plan, told.figures().measure(), hosts, exchange, listener, accepts, log);
+        front = opened.front();
+        return front != null ? null : "the front cannot listen at " + plan.listen().getAddress().getHostAddress() + ":"
+                + plan.listen().getPort() + ": " + opened.fault();
+    }
+
+    /** Waits until the front has a table to pick from, or for two seconds. */
+    void awaitTables() throws InterruptedException {
+        long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(TABLES_MS);
+        while (!front.hasTables() && System.nanoTime() < end) {
+            TimeUnit.MILLISECONDS.sleep(10);
+        }
+    }
+
+    Front front() {
+        return front;
+    }
+
+    /** At the first SIGTERM the front drains, and the process ends once it has; further ones change nothing. */
+    void onTerm(Handover handover) {
+        Signal.handle(new Signal("TERM"), signal -> {
+            if (!ending.compareAndSet(false, true)) {
+                log.info("front", "is told to end again, and drains still");
+                return;
+            }
+            if (handover != null) {
+                handover.ending();
+            }
+            front.drain();
+            endWhenDrained();
+        });
+    }
+
+    void endWhenDrained() {
+        new Thread(() -> {
+            try {
+                front.awaitDrained();
+            } catch (InterruptedException e) {
+                // ends all the same
+            }
+            log.info("front", front.totals());
+            System.exit(0);
+        }, "drain").start();
+    }
+}
--- a/src/main/java/linenring/command/Subcommands.java
+++ b/src/main/java/linenring/command/Subcommands.java
@@ -13,6 +13,8 @@
 import linenring.configuration.AssignmentReader;
 import linenring.figures.Names;
 import linenring.front.settings.FrontPlanReader;
+import linenring.handover.Upgrades;
+import linenring.handover.wire.Wire;
 import linenring.kdl.Units;
 import linenring.load.Load;
 import linenring.standin.Node;
@@ -23,11 +25,13 @@
 import picocli.CommandLine.Parameters;
 import picocli.CommandLine.Spec;
 
-/** The subcommands. Exit codes: 0, 2 for usage, 3 for settings at fault, 4 where it cannot start. */
+/** The subcommands. Exit codes: 0, 2 for usage, 3 for settings at fault, 4 where it cannot start, 5
+ * where an upgrade did not come about. */
 @Command(name = "linenring", mixinStandardHelpOptions = true, versionProvider = Subcommands.Version.class,
         synopsisSubcommandLabel = "SUBCOMMAND",
         description = "A central planner that writes the tables of plain proxies.")
 public final class Subcommands implements Callable<Integer> {
+    static final int NOT_UPGRADED = 5;
     private static final int USAGE = 2;
     private static final long LOAD_WAIT_MS = 5000; // past any integration timeout in use
 
@@ -42,11 +46,15 @@
     static final class Version implements CommandLine.IVersionProvider {
         @Override
         public String[] getVersion() {
-            String version = Subcommands.class.getPackage().getImplementationVersion();
-            return new String[] {"linenring " + (version == null ? "(not from a jar)" : version)};
+            return new String[] {"linenring " + release()};
         }
     }
 
+    static String release() {
+        String version = Subcommands.class.getPackage().getImplementationVersion();
+        return version == null ? "(not from a jar)" : version;
+    }
+
     @Override
     public Integer call() {
         spec.commandLine().usage(System.err);
@@ -138,6 +146,27 @@
         }
     }
 
+    @Command(name = "upgrade", mixinStandardHelpOptions = true, description = "Have the process that serves hand over to"
+            + " a new one; ends with 0 once that one serves, with 5 if the old one goes on.")
+    int upgrade(
+            @Parameters(paramLabel = "DIRECTORY", description = "handover's dir in the front's settings") Path dir,
+            @Option(names = "--wait", paramLabel = "DURATION", defaultValue = "2min",
+                    description = "how long at most (${DEFAULT-VALUE})") String wait) throws InterruptedException {
+        if (!wait.matches(Units.DURATION)) {
+            throw new CommandLine.ParameterException(spec.commandLine(), "--wait: '" + wait
+                    + "' is not a duration with its unit, such as 2min");
+        }
+        try {
+            Wire.Ended ended = Upgrades.ask(dir, (long) Units.millis(wait));
+            System.out.println(ended == null ? "nothing was heard of it; the log of the old process tells"
+                    : (ended.getWell() ? "upgraded: " : "not upgraded: ") + ended.getWords());
+            return ended != null && ended.getWell() ? 0 : NOT_UPGRADED;
+        } catch (IOException e) {
+            System.err.println("linenring: nobody can be upgraded at " + dir + ": " + e.getMessage());
+            return Serve.CANNOT_START;
+        }
+    }
+
     @Command(name = "load", mixinStandardHelpOptions = true,
             description = "Call an HTTP/2 port on loopback at a steady rate, or so many calls at a time, and tell latencies.")
     int load(
--- a/src/main/java/linenring/front/Door.java
+++ b/src/main/java/linenring/front/Door.java
@@ -2,6 +2,7 @@
 
 import java.nio.ByteBuffer;
 import java.nio.charset.StandardCharsets;
+import java.util.LinkedHashSet;
 import java.util.Set;
 import linenring.log.Log;
 import org.eclipse.jetty.io.AbstractConnection;
@@ -17,7 +18,7 @@
  * Lets in who begins with HTTP/2's preface (RFC 9113, 3.4). HTTP/1.1, its obsolete upgrade to h2c included, is answered
  * that this port speaks HTTP/2 alone; whatever else comes, or nothing in time, is closed.
  */
-final class Door extends AbstractConnectionFactory {
+final class Door extends AbstractConnectionFactory implements Connection.Listener {
     private static final byte[] PREFACE = "PRI * HTTP/2.0\r\n\r\nSM\r\n\r\n".getBytes(StandardCharsets.US_ASCII);
     private static final long SILENT_MS = 1000; // as at the steward's own address: who dials says at once what it speaks
     private static final String WORDS = "This port speaks HTTP/2 with prior knowledge alone.\n";
@@ -27,11 +28,16 @@
     private static final Set<String> METHODS = Set.of("GET ", "POST", "PUT ", "HEAD", "DELE", "OPTI", "PATC", "CONN");
 
     private final ConnectionFactory http2;
+    private final int most;
     private final Log log;
+    private final Set<Knock> knocking = new LinkedHashSet<>(); // oldest first
+    private int open;
 
-    Door(ConnectionFactory http2, Log log) {
+    /** Lets in so many connections at most; it is to be told of them as their listener. */
+    Door(ConnectionFactory http2, int most, Log log) {
         super("door");
         this.http2 = http2;
+        this.most = most;
         this.log = log;
     }
 
@@ -42,6 +48,25 @@
         return configure(new Knock(connector, endPoint, idle), connector, endPoint);
     }
 
+    @Override
+    public synchronized void onOpened(Connection connection) {
+        open++;
+        if (connection instanceof Knock k) {
+            knocking.add(k);
+        }
+    }
+
+    @Override
+    public synchronized void onClosed(Connection connection) {
+        open--;
+        knocking.remove(connection);
+    }
+
+    /** Who goes where one too many is there: the oldest that has not said what it speaks, or null. */
+    private synchronized Knock tooMany() {
+        return open <= most ? null : knocking.iterator().next();
+    }
+
     private final class Knock extends AbstractConnection {
         private final Connector connector;
         private final long idle;
@@ -56,7 +81,15 @@
         @Override
         public void onOpen() {
             super.onOpen();
-            fillInterested();
+            Knock goes = tooMany();
+            if (goes != null) { // closing all accepting instead would let in nobody while the silent ones are waited for
+                log.info("client", goes.getEndPoint().getRemoteSocketAddress() + " makes room, " + most
+                        + " connections are open: closed");
+                goes.getEndPoint().close();
+            }
+            if (goes != this) {
+                fillInterested();
+            }
         }
 
         @Override
--- a/src/main/java/linenring/front/Drain.java
+++ b/src/main/java/linenring/front/Drain.java
@@ -47,7 +47,7 @@
     /** A stream has come; false: refuse it as not processed. */
     synchronized boolean accepts(S session, int stream) {
         Of of = sessions.get(session);
-        if (of == null || stage.compareTo(Stage.LAST_NAMED) >= 0 && (of.named || stage == Stage.OVER)) {
+        if (of == null || of.named || stage == Stage.OVER) {
             refused++;
             return false;
         }
@@ -74,6 +74,11 @@
         return true;
     }
 
+    /** Serves again; sessions whose last stream was told go on refusing later ones. */
+    synchronized void resume() {
+        stage = Stage.SERVING;
+    }
+
     /** Moves on with time and with what has finished. */
     synchronized Stage step(double now) {
         if (stage == Stage.ANNOUNCED && now - since >= ON_ITS_WAY_MS) {
--- a/src/main/java/linenring/front/Front.java
+++ b/src/main/java/linenring/front/Front.java
@@ -1,5 +1,6 @@
 package linenring.front;
 
+import java.nio.channels.ServerSocketChannel;
 import java.util.List;
 import java.util.Map;
 import java.util.Set;
@@ -33,7 +34,6 @@
 import org.eclipse.jetty.http2.frames.ResetFrame;
 import org.eclipse.jetty.http2.server.RawHTTP2ServerConnectionFactory;
 import org.eclipse.jetty.io.ClientConnector;
-import org.eclipse.jetty.server.ConnectionLimit;
 import org.eclipse.jetty.server.HttpConfiguration;
 import org.eclipse.jetty.server.Server;
 import org.eclipse.jetty.server.ServerConnector;
@@ -69,7 +69,7 @@
     private final AtomicInteger runningCount = new AtomicInteger();
     private final ThreadLocal<SplittableRandom> chance;
     private final long startNanos = System.nanoTime();
-    private final CountDownLatch drained = new CountDownLatch(1);
+    private volatile CountDownLatch drained = new CountDownLatch(1);
     private final AtomicLong[][] counts; // by operation: succeeded, errored, rate-limited, no host, timed out, gone
     private QueuedThreadPool threads;
     private Scheduler scheduler;
@@ -107,23 +107,29 @@
 
     /** Listens and joins the steward; {@code hosts} follows the list from its beginning. */
     public static Opened open(FrontPlan plan, Measure measure, HostBook hosts, Exchange exchange, Log log) {
+        return open(plan, measure, hosts, exchange, null, true, log);
+    }
+
+    /** The same at a listener that is there already, or null; accepts from the start or once it is told to. */
+    public static Opened open(FrontPlan plan, Measure measure, HostBook hosts, Exchange exchange,
+            ServerSocketChannel listener, boolean accepts, Log log) {
         Front front = new Front(plan, measure, hosts, System.nanoTime(), log);
         Opened.Reached reached = Opened.Reached.STARTED;
         try {
-            front.start(exchange);
+            front.start(exchange, listener, accepts);
             reached = Opened.Reached.LISTENING;
             front.membership.join();
             front.membership.report();
             front.sweep();
-            log.info("front", "takes invocations at " + front.at());
+            log.info("front", (accepts ? "takes invocations at " : "is ready to take invocations at ") + front.at());
             return new Opened(front, reached, null);
         } catch (Exception e) { // start() may throw any
             front.close();
-            return new Opened(null, reached, String.valueOf(e.getMessage()));
+            return new Opened(null, reached, String.valueOf(e.getMessage() == null ? e : e.getMessage()));
         }
     }
 
-    private void start(Exchange exchange) throws Exception {
+    private void start(Exchange exchange, ServerSocketChannel listener, boolean accepts) throws Exception {
         threads = new QueuedThreadPool(THREADS_MOST, 4);
         threads.setName("front");
         threads.setDaemon(true);
@@ -141,14 +147,20 @@
         http2.setRateControlFactory(new WindowRateControl.Factory(clients.framesPerSecond()));
         http2.setMaxHeaderBlockFragment(clients.headers());
         server.addBean(http2); // has the life of the server, as it is no connector's own
-        connector = new ServerConnector(server, 1, 1, new Door(http2, log));
+        Door door = new Door(http2, clients.connections(), log);
+        connector = new ServerConnector(server, 0, 1, door); // no thread waits in accept: it can be stopped
         connector.setHost(plan.listen().getAddress().getHostAddress());
         connector.setPort(plan.listen().getPort());
         connector.setIdleTimeout((long) clients.idleMs());
         connector.setReuseAddress(true);
         connector.setAcceptQueueSize(512);
-        server.addConnector(connector);
-        server.addBean(new ConnectionLimit(clients.connections(), connector));
+        if (listener != null) {
+            connector.open(listener);
+        }
+        if (accepts) {
+            server.addConnector(connector);
+        } // else it is started by the first accept()
+        connector.addBean(door); // it is told of each connection's beginning and end
 
         ClientConnector out = new ClientConnector();
         out.setExecutor(threads);
@@ -340,13 +352,16 @@
             return;
         }
         log.info("front", "drains: " + drain.running() + " invocations run, " + sessions.size() + " clients");
-        connector.shutdown(); // nobody new is accepted
+        connector.setAccepting(false);
         sessions.keySet().forEach(s -> ((HTTP2Session) s).goAway(GoAwayFrame.GRACEFUL, Callback.NOOP));
         drainStep();
     }
 
     private void drainStep() {
         Drain.Stage stage = drain.step(now());
+        if (stage == Drain.Stage.SERVING) {
+            return; // called off
+        }
         if (stage.compareTo(Drain.Stage.LAST_NAMED) >= 0) {
             for (Session s : sessions.keySet()) {
                 int last = drain.nameLast(s);
@@ -359,16 +374,48 @@
             int left = drain.running();
             log.info("front", "has drained: " + drain.finished() + " finished, " + drain.refused() + " refused, " + left
                     + " broken off" + (left > 0 ? " after " + (long) plan.drainMs() + " ms" : ""));
-            membership.leave();
             drained.countDown();
         } else {
             scheduler.schedule(this::drainStep, DRAIN_STEP_MS, TimeUnit.MILLISECONDS);
         }
     }
 
-    /** Waits until a drain is over. */
+    /** Waits until a drain is over, and leaves the steward. */
     public void awaitDrained() throws InterruptedException {
         drained.await();
+        membership.leave();
+    }
+
+    /** Accepts nobody new; the listener stays open, so that another process may accept at it. */
+    public void stopAccepting() {
+        connector.setAccepting(false);
+    }
+
+    /** Accepts, again or for the first time; a drain that has begun is called off for all who come from now on. */
+    public void accept() {
+        drain.resume();
+        drained = new CountDownLatch(1);
+        try {
+            if (connector.isStarted()) {
+                connector.setAccepting(true);
+            } else {
+                server.addConnector(connector);
+                connector.start();
+            }
+            log.info("front", "takes invocations at " + at());
+        } catch (Exception e) { // start() may throw any
+            log.error("front", "cannot accept: " + e);
+        }
+    }
+
+    /** Whether it has a table to pick from. */
+    public boolean hasTables() {
+        return !tables.isFresh();
+    }
+
+    /** What it listens with. */
+    public ServerSocketChannel listener() {
+        return (ServerSocketChannel) connector.getTransport();
     }
 
     /** Ends at once. */
--- a/src/main/java/linenring/front/settings/FrontPlan.java
+++ b/src/main/java/linenring/front/settings/FrontPlan.java
@@ -8,13 +8,14 @@
 /**
  * What a front is told. Times are ms, sizes bytes.
  *
+ * @param handover   null where upgrades are not asked for
  * @param proxy      under whose number it joins the steward, in {@code zone} (an index), with {@code usual} a second
  * @param markHeader the header that carries a fingerprinted invocation's mark, or null
  * @param operations in the order of the steward's operations
  */
 public record FrontPlan(InetSocketAddress listen, int proxy, int zone, double usual, String markHeader,
         List<Terms> operations, List<Route> routes, Further tries, Avoid avoid, Pool.Bounds pool, double dialMs,
-        Clients clients, Body body, double reportMs, double drainMs) {
+        Clients clients, Body body, double reportMs, double drainMs, Handover handover) {
 
     /** Invocations whose method is this and whose path begins so are of that operation (an index). */
     public record Route(String method, String prefix, int operation) { }
@@ -34,4 +35,8 @@
      * invocations' windows may come to.
      */
     public record Body(int kept, long keptInAll, int window, long inAll) { }
+
+    /** Upgrades: the directory of the socket, the command that starts the new process (empty: this one's own), bounds. */
+    public record Handover(java.nio.file.Path dir, List<String> command, double greetMs, double prepareMs, double takeMs,
+            double probationMs) { }
 }
--- a/src/main/java/linenring/front/settings/FrontPlanReader.java
+++ b/src/main/java/linenring/front/settings/FrontPlanReader.java
@@ -58,6 +58,9 @@
     private static final String IN_ALL = "512MiB";    // 4,000 uploads at a time, or 8,000 invocations without a body
     private static final String REPORT = "500ms";     // the collectors' own
     private static final String DRAIN = "30s";
+    private static final String GREET = "20s", PREPARE = "30s"; // a start takes 2 s here; a busy machine ten times that
+    private static final String TAKE = "5s";          // nobody accepts meanwhile; dials wait in the kernel
+    private static final String PROBATION = "10s";    // faults of a new release that end it at once show within seconds
 
     private final String file;
     private final Names names;
@@ -205,7 +208,8 @@
                         clients.path("frames-per-second").asInt(FRAMES)),
                 new FrontPlan.Body(size(body, "kept", KEPT, 64 << 20), Units.bytes(body.path("kept-in-all")
                         .asText(KEPT_IN_ALL)), size(body, "window", WINDOW, 16 << 20), Units.bytes(body.path("in-all").asText(IN_ALL))),
-                Units.millis(in.path("report").asText(REPORT)), Units.millis(in.path("drain").asText(DRAIN)));
+                Units.millis(in.path("report").asText(REPORT)), Units.millis(in.path("drain").asText(DRAIN)),
+                in.has("handover") ? handover(in.get("handover")) : null);
         if (plan.body().window() < 16 << 10) {
             fault("/front/body/window", "front.body.window: \"" + body.path("window").asText()
                     + "\" is under 16KiB, the least frame of HTTP/2");
@@ -213,6 +217,13 @@
         return plan;
     }
 
+    private static FrontPlan.Handover handover(JsonNode in) {
+        return new FrontPlan.Handover(Path.of(in.get("dir").asText()),
+                in.has("command") ? List.of("/bin/sh", "-c", "exec " + in.get("command").asText()) : List.of(),
+                Units.millis(in.path("greet").asText(GREET)), Units.millis(in.path("prepare").asText(PREPARE)),
+                Units.millis(in.path("take").asText(TAKE)), Units.millis(in.path("probation").asText(PROBATION)));
+    }
+
     private int size(JsonNode in, String name, String absent, int most) {
         long bytes = Units.bytes(in.path(name).asText(absent));
         if (bytes > most) {
--- a/src/main/java/linenring/handover/OldSide.java
+++ b/src/main/java/linenring/handover/OldSide.java
@@ -28,6 +28,7 @@
     private State state = State.SERVING;
     private double since;
     private String why = "";
+    private boolean ending;
 
     public OldSide(Bounds bounds) {
         this.bounds = bounds;
@@ -55,7 +56,13 @@
 
     /** Somebody asks for an upgrade; nothing where one is under way. */
     public List<Effect> ask(double now) {
-        return state == State.SERVING ? to(State.SPAWNED, now, Effect.SPAWN) : List.of();
+        return state == State.SERVING && !ending ? to(State.SPAWNED, now, Effect.SPAWN) : List.of();
+    }
+
+    /** This process is told to end: an upgrade that has not changed hands is called off, and none begins any more. */
+    public List<Effect> ending(double now) {
+        ending = true;
+        return state == State.SPAWNED || state == State.OFFERED ? fails("this process was told to end", now) : List.of();
     }
 
     public List<Effect> hello(int protocol, double now) {
--- a/src/main/java/linenring/streams/StreamServer.java
+++ b/src/main/java/linenring/streams/StreamServer.java
@@ -51,6 +51,7 @@
     private ServerSocketChannel channel;
     private long sweptAt = System.nanoTime();
     private int held;
+    private boolean closed;
     private int accepting; // accepted, and not among the connections yet
 
     StreamServer(Executor executor, Scheduler scheduler, int sockets, Codec codec, Exchange exchange,
@@ -85,12 +86,18 @@
         }
     }
 
-    /** Frees the address; the connections end with the selector. */
-    void close() {
+    /** Frees the address and ends all connections. */
+    public void close() {
+        List<PeerConnection> all;
+        synchronized (connections) {
+            closed = true;
+            all = List.copyOf(connections);
+        }
         try {
             if (channel != null) {
                 channel.close();
             }
+            all.forEach(c -> c.close("is told to dial again"));
             stop();
         } catch (Exception e) { // stop() may throw any
             log.warn("stream", "does not stop cleanly: " + e.getMessage());
@@ -176,7 +183,15 @@
                 connection.judge(now - (stood ? 2 : 1) * STRANGER_NS, past - SILENT_NS, past - DEAD_NS);
             }
         } finally {
-            clock.schedule(this::sweep, SWEEP_MS, TimeUnit.MILLISECONDS);
+            if (!isClosed()) {
+                clock.schedule(this::sweep, SWEEP_MS, TimeUnit.MILLISECONDS);
+            }
+        }
+    }
+
+    private boolean isClosed() {
+        synchronized (connections) {
+            return closed;
         }
     }
 }
