--- a/src/test/java/linenring/front/DecisionsTest.java
+++ b/src/test/java/linenring/front/DecisionsTest.java
@@ -85,4 +85,19 @@
         d.begin(0);
         assertEquals(Drain.Stage.OVER, d.step(200));
     }
+
+    @Test
+    void aDrainThatIsCalledOffServesNewSessionsAndLeavesTheOldOnesToTheirGoAway() {
+        Drain<String> d = new Drain<>(5000);
+        d.opened("told");
+        d.accepts("told", 1);
+        d.begin(0);
+        d.step(200);
+        d.nameLast("told");
+        d.resume();
+        assertTrue(d.opened("new"));
+        assertTrue(d.accepts("new", 1));
+        assertFalse(d.accepts("told", 3)); // its client was told that this one is not processed
+        assertTrue(d.begin(1000)); // and it may drain again
+    }
 }
--- a/src/test/java/linenring/handover/SidesTest.java
+++ b/src/test/java/linenring/handover/SidesTest.java
@@ -229,4 +229,20 @@
         assertEquals(List.of(OldSide.Effect.TELL_FAILED), old.died("killed", 0.6));
         assertEquals("the new release speaks protocol 2, this one 1", old.why());
     }
+
+    @Test
+    void aProcessThatIsToldToEndCallsAnUpgradeOffUnlessThePortHasChangedHands() {
+        OldSide old = new OldSide(BOUNDS);
+        old.ask(0);
+        assertEquals(List.of(OldSide.Effect.KILL), old.ending(0.1));
+        old.died("killed", 0.2);
+        assertEquals(List.of(), old.ask(0.3)); // none begins any more
+        OldSide late = new OldSide(BOUNDS);
+        late.ask(0);
+        late.hello(OldSide.PROTOCOL, 0);
+        late.ready(0);
+        late.owned(0);
+        assertEquals(List.of(), late.ending(0.1)); // the new one has the port, and this one drains already
+        assertEquals(OldSide.State.PROBATION, late.state());
+    }
 }
