front: a host that stops in its answer is ended; one that moves is dialled anew

Cause: read once more, an answer that had begun had no bound on the host's side, and a host that came back at another address under its id was dialled at the old one.

Change: a host that sends nothing more of an answer for the stall's length is broken off; a link whose address has changed is retired and replaced. A story each.

--- a/src/main/java/linenring/front/Front.java
+++ b/src/main/java/linenring/front/Front.java
@@ -331,7 +331,11 @@
     // ---- tables, hosts, time
 
     private void tablesChanged() {
-        links.forEach((host, link) -> link.retire(!hosts.host(host).isListed() || !tables.isUsed(host)));
+        links.entrySet().removeIf(e -> { // a host that came back elsewhere is dialled there
+            boolean moved = !java.util.Objects.equals(e.getValue().address(), hosts.host(e.getKey()).address());
+            e.getValue().retire(moved || !hosts.host(e.getKey()).isListed() || !tables.isUsed(e.getKey()));
+            return moved;
+        });
     }
 
     private void sweep() {
--- a/src/main/java/linenring/front/HostLink.java
+++ b/src/main/java/linenring/front/HostLink.java
@@ -145,6 +145,10 @@
         pool = new Pool<>(bounds);
     }
 
+    String address() {
+        return host.address();
+    }
+
     private synchronized Pool.Follows<Connection, Wants> pool(Ask ask) {
         return ask.of(pool);
     }
--- a/src/main/java/linenring/front/Invocation.java
+++ b/src/main/java/linenring/front/Invocation.java
@@ -39,6 +39,7 @@
     private boolean answering;     // the client was sent the head of its answer
     private boolean over;
     private volatile long writingSince; // 0, or since when the client has not taken what it was sent
+    private volatile long waitingSince; // 0, or since when the host has sent nothing more of its answer
 
     Invocation(Front front, Stream client, HeadersFrame request, int operation, Tries tries, KeptBody kept,
             long reserved) {
@@ -151,6 +152,7 @@
         }
         over = true;
         writingSince = 0;
+        waitingSince = 0;
         Try was = current;
         current = null;
         if (was != null) {
@@ -160,20 +162,24 @@
         front.ended(this, client, reserved);
     }
 
-    /** Ends it if its client has not taken what it was sent for so long (ns); true if so. */
-    boolean endIfStalled(long now, long longest) {
-        long since = writingSince;
-        if (since == 0 || now - since < longest) {
-            return false;
+    /** Ends it if for so long (ns) its client has not taken what it was sent, or its host stops in its answer. */
+    void endIfStalled(long now, long longest) {
+        long writing = writingSince, waiting = waitingSince;
+        if (writing != 0 && now - writing >= longest) {
+            then(() -> {
+                if (!over && writingSince == writing) {
+                    front.stalled(operation, client);
+                    breakOff(ErrorCode.ENHANCE_YOUR_CALM_ERROR);
+                }
+            });
+        } else if (waiting != 0 && now - waiting >= longest) {
+            then(() -> {
+                if (!over && waitingSince == waiting) {
+                    front.brokeOff(operation, current.host, new Attempt(Attempt.Proof.RAN, Attempt.Why.TIMED_OUT));
+                    breakOff(ErrorCode.INTERNAL_ERROR);
+                }
+            });
         }
-        then(() -> {
-            if (!over && writingSince == since) {
-                front.stalled(operation, client);
-                tries.abandoned();
-                breakOff(ErrorCode.ENHANCE_YOUR_CALM_ERROR);
-            }
-        });
-        return true;
     }
 
     // ---- one attempt
@@ -371,6 +377,7 @@
                 return;
             }
             Stream.Data data = stream.readData();
+            waitingSince = data == null ? System.nanoTime() : 0;
             if (data == null) {
                 stream.demand();
                 return;
--- a/src/main/java/linenring/standin/Node.java
+++ b/src/main/java/linenring/standin/Node.java
@@ -42,6 +42,8 @@
         /** Closes the connection when it has run it. */
         DIE,
         DIE_IN_BODY,
+        /** Sends half of the body and no more. */
+        HANG_IN_BODY,
         /** A byte of the body at a time. */
         TRICKLE,
         /** 103, then the answer, then trailers. */
@@ -389,14 +391,14 @@
             switch (told.deed()) {
                 case RESET -> link.reset(stream, 2);
                 case DIE -> end();
-                case RESET_AFTER_HEAD, RESET_IN_BODY, DIE_IN_BODY -> {
+                case RESET_AFTER_HEAD, RESET_IN_BODY, DIE_IN_BODY, HANG_IN_BODY -> {
                     link.headers(stream, FrameLink.response(200, fields), false);
                     if (told.deed() != Deed.RESET_AFTER_HEAD) {
                         body(stream, told.bytes() / 2, false, FRAME, 0);
                     }
                     if (told.deed() == Deed.DIE_IN_BODY) {
                         end();
-                    } else {
+                    } else if (told.deed() != Deed.HANG_IN_BODY) {
                         link.reset(stream, 2);
                     }
                 }
--- a/src/test/java/linenring/front/BesideAStewardTest.java
+++ b/src/test/java/linenring/front/BesideAStewardTest.java
@@ -173,4 +173,21 @@
             assertEquals(60, nodes.stream().mapToInt(n -> n.ran("/assign")).sum());
         }
     }
+
+    @Test
+    void aHostThatComesBackAtAnotherAddressIsDialledThere() throws IOException {
+        try (Caller c = served(); Node elsewhere = new Node()) {
+            nodes.get(0).close();
+            nodes.set(0, elsewhere);
+            list(HostList.State.READY, 0);
+            Caller.awaiting(this, () -> {
+                try {
+                    c.call("GET", "/quote");
+                } catch (IOException e) {
+                    throw new AssertionError(e);
+                }
+                return elsewhere.ran("/quote") > 0;
+            }, "it is found");
+        }
+    }
 }
--- a/src/test/java/linenring/front/FrontTest.java
+++ b/src/test/java/linenring/front/FrontTest.java
@@ -249,6 +249,19 @@
         }
     }
 
+    @Test
+    void aHostThatStopsInItsAnswerIsEndedAtABoundAndATrickleIsNot() throws IOException {
+        try (Rig rig = new Rig(1, "clients stall=\"800ms\"")) {
+            rig.nodes.get(0).next(Told.of(Deed.HANG_IN_BODY).bytes(1000), Told.of(Deed.TRICKLE).bytes(80));
+            Caller c = rig.caller();
+            Caller.Answer stopped = c.call("GET", "/quote");
+            assertTrue(stopped.reset >= 0 && stopped.bytes == 500);
+            assertTrue(rig.logged.toString().contains("host s-0 broke off in its answer to quote: timed_out"));
+            Caller.Answer trickled = c.call("GET", "/quote"); // 1.6 s in all
+            assertTrue(trickled.ended && trickled.bytes == 80);
+        }
+    }
+
     @Test
     void aRetryStormStaysWithinTheBudget() throws IOException {
         try (Rig rig = new Rig(4, "tries budget=\"20%\" over=\"60s\" least=5\navoid after=0")) {
