--- a/src/main/java/linenring/front/Invocation.java
+++ b/src/main/java/linenring/front/Invocation.java
@@ -36,7 +36,6 @@
     private Try current;           // the attempt under way, or null
     private HttpFields trailers;   // of the request, told before its body is read
     private boolean requestRead;   // its end was read
-    private boolean answering;     // the client was sent the head of its answer
     private boolean over;
     private volatile long writingSince; // 0, or since when the client has not taken what it was sent
     private volatile long waitingSince; // 0, or since when the host has sent nothing more of its answer
@@ -328,7 +327,7 @@
                     answerTrailers = frame.getMetaData().getHttpFields();
                     pumpAnswer();
                 } else if (head.getStatus() < 200) {
-                    if (head.getStatus() != 101 && !answering) {
+                    if (head.getStatus() != 101 && !begun) {
                         client.headers(new HeadersFrame(client.getId(), head, null, false), Callback.NOOP);
                     }
                 } else {
@@ -352,7 +351,6 @@
                 follow(step);
             } else if (step instanceof Tries.Step.PassOn) {
                 begun = true;
-                answering = true;
                 kept.letGo();
                 front.answered(operation, errored);
                 writingSince = System.nanoTime();
--- a/src/main/java/linenring/kdl/Units.java
+++ b/src/main/java/linenring/kdl/Units.java
@@ -4,10 +4,6 @@
 public final class Units {
     /** What a schema's pattern holds a duration to. */
     public static final String DURATION = "^[0-9]+(\\.[0-9]+)?(ms|s|min|h)$";
-    /** The same of a size in bytes. */
-    public static final String SIZE = "^[0-9]+(B|KiB|MiB|GiB)$";
-    /** And of a share. */
-    public static final String SHARE = "^[0-9]+(\\.[0-9]+)?%$";
 
     private Units() {
     }
@@ -32,7 +28,7 @@
         };
     }
 
-    /** Bytes; the text matches {@link #SIZE}. */
+    /** Bytes; the text is a whole number and B, KiB, MiB or GiB, as a schema has checked. */
     public static long bytes(String text) {
         int at = unitAt(text);
         return Math.multiplyExact(Long.parseLong(text.substring(0, at)), switch (text.substring(at)) {
@@ -43,7 +39,7 @@
         });
     }
 
-    /** A share of 1; the text matches {@link #SHARE}. */
+    /** A share of 1; the text is a number and %, as a schema has checked. */
     public static double share(String text) {
         return Double.parseDouble(text.substring(0, text.length() - 1)) / 100;
     }
--- a/src/main/java/linenring/routing/HostBook.java
+++ b/src/main/java/linenring/routing/HostBook.java
@@ -47,10 +47,6 @@
         return hosts[index];
     }
 
-    public int count() {
-        return hosts.length;
-    }
-
     /** Whether the two remember the marks of this operation together. */
     boolean shareMarks(Terms.Group group, int a, int b) {
         Host one = hosts[a], other = hosts[b];
--- a/src/main/java/linenring/routing/Pool.java
+++ b/src/main/java/linenring/routing/Pool.java
@@ -188,10 +188,6 @@
         return new Follows<>(served, turnedAway, close, open);
     }
 
-    public int connections() {
-        return lines.size();
-    }
-
     public int running() {
         return lines.stream().mapToInt(l -> l.running).sum();
     }
--- a/src/main/java/linenring/routing/Tries.java
+++ b/src/main/java/linenring/routing/Tries.java
@@ -167,10 +167,6 @@
                 || terrain.hosts().shareMarks(terms.group(), mayHaveRunAt, other));
     }
 
-    public double deadline() {
-        return deadline;
-    }
-
     public synchronized int attempts() {
         return host < 0 ? 0 : further + 1;
     }
--- a/src/main/java/linenring/standin/Caller.java
+++ b/src/main/java/linenring/standin/Caller.java
@@ -40,7 +40,7 @@
     private final List<FrameLink.Frame> goAways = new ArrayList<>();
     private final Thread reader;
     private volatile boolean opensWindows = true, closed;
-    private int nextStream = 1, pings;
+    private int nextStream = 1;
 
     /** Connects and says its preface; {@code settings} as pairs. */
     public Caller(int port, int... settings) throws IOException {
@@ -127,10 +127,6 @@
         return closed;
     }
 
-    public synchronized int pings() {
-        return pings;
-    }
-
     private void read() {
         Map<Integer, ByteArrayOutputStream> blocks = new ConcurrentHashMap<>();
         try {
@@ -159,7 +155,6 @@
                 }
             }
             case FrameLink.PING -> {
-                pings++;
                 if (!f.has(FrameLink.ACK)) {
                     link.write(FrameLink.PING, FrameLink.ACK, 0, f.payload());
                 }
