--- a/src/test/java/linenring/front/MisbehavingClientsTest.java
+++ b/src/test/java/linenring/front/MisbehavingClientsTest.java
@@ -47,6 +47,8 @@
         }
         assertEquals(200, other.call("GET", "/quote").status);
         assertEquals(200, rig.caller().call("GET", "/quote").status);
+        assertTrue(rig.logged.toString().lines().count() < 50, "a flood of 5,000 frames fills no log");
+        Caller.awaiting(rig, () -> rig.front.runningNow() == 0, "nothing of it is held");
     }
 
     @Test
