streams: nobody counts as left for an answer that our own slow channel holds up

The account printed five times a second says why: the channel sends 1,172 lines a second, full tables for 160 proxies keep 8,700 lines in it, answers come after 7 s. A stream of a proxy carries nothing but answers (usage may come by any collector), so after 3 s (SILENT_NS in StreamServer, PeerConnection.judge) a well proxy was told to the module as lost (Steward.silent): its lines were in no account, drains did not count it, its answers freed nothing (waiting stood at 14,770 from 26 s to the end, drainsWait on, nobody written to), and its late answer made it join anew for a further full table. In one small steward answers take 0.3 s.

Ruled out: CPU (inputs wait under 50 ms in the same log), lost answers (they come, late), the list (told at once).

Change: the judgement goes, with its end after 60 s. The account goes by the channel's order and needs no answer of a silent proxy; its socket is freed when the proxy dials again. It also holds against frozen proxies and cut zones: what is written waits for them in order. It could hurt where a vanished proxy's lines take channel time until its stream ends.

--- a/src/main/java/linenring/exchange/Exchange.java
+++ b/src/main/java/linenring/exchange/Exchange.java
@@ -19,9 +19,6 @@
     public interface Taker {
         void arrived(Stream from, Arrival what);
 
-        /** Nothing comes from it though an answer is due; if it speaks again, it joins again first. */
-        void silent(Stream which);
-
         void ended(Stream which);
 
         void listed(HostList list);
@@ -50,10 +47,6 @@
         leave(taker -> taker.arrived(from, what), sums);
     }
 
-    public void silent(Stream which) {
-        leave(taker -> taker.silent(which), false);
-    }
-
     public void ended(Stream which) {
         leave(taker -> taker.ended(which), false);
     }
--- a/src/main/java/linenring/steward/Steward.java
+++ b/src/main/java/linenring/steward/Steward.java
@@ -100,15 +100,6 @@
         }
     }
 
-    @Override
-    public void silent(Stream which) {
-        int proxy = books.proxyOf(which);
-        if (proxy >= 0) { // what it is written still goes there, in case it listens
-            log.info("proxy", proxy + " is silent and counts as left");
-            decide(() -> balance.lost(proxy));
-        }
-    }
-
     @Override
     public void ended(Stream which) {
         int proxy = books.proxyOf(which);
--- a/src/main/java/linenring/streams/PeerConnection.java
+++ b/src/main/java/linenring/streams/PeerConnection.java
@@ -43,10 +43,8 @@
     private long begunAt;            // when the line that is not at its end began
     private volatile Stage stage = Stage.STRANGER;
     private Arrival.Joining joining; // what a proxy said first
-    private volatile long heardAt = openedAt;
     private final ArrayDeque<Mark> unanswered = new ArrayDeque<>(); // oldest first
     private volatile boolean ending;
-    private boolean silent;
 
     private final ArrayDeque<ByteBuffer> unsent = new ArrayDeque<>();
     private int unsentBytes;
@@ -113,7 +111,6 @@
                 if (got == 0) {
                     break;
                 }
-                heardAt = System.nanoTime();
                 if (!take(read.array(), read.arrayOffset() + read.position(), got)) {
                     return;
                 }
@@ -224,11 +221,6 @@
             joining = a instanceof Arrival.Joining j ? j : null;
             stage = joining != null ? Stage.PROXY : Stage.COLLECTOR;
         }
-        if (silent) { // it counts as left: it joins again, with what it holds
-            silent = false;
-            server.exchange.arrived(this,
-                    new Arrival.Joining(joining.proxy(), joining.zone(), joining.usual(), false));
-        }
         if (!(a instanceof Arrival.Collector)) {
             server.exchange.arrived(this, a);
         }
@@ -300,8 +292,11 @@
         end(why, false);
     }
 
-    /** Judges its silence: a stranger's and a begun line's since then, and a proxy's while an answer is due. */
-    synchronized void judge(long strangersSince, long silentSince, long deadSince) {
+    /**
+     * Judges a stranger's silence and a begun line's. An answer that is due tells nothing of its proxy: our own channel,
+     * which lies behind this stream, may take longer over the orders of hundreds than anyone is silent.
+     */
+    synchronized void judge(long strangersSince, long silentSince) {
         if (stage == Stage.STRANGER) {
             if (openedAt - strangersSince < 0) {
                 end("does not say in time who is there", true);
@@ -310,14 +305,6 @@
         }
         if (length > 0 && begunAt - silentSince < 0) {
             end("leaves a message without its end", true);
-        } else if (!unanswered.isEmpty() && heardAt - silentSince < 0) {
-            long due = unanswered.peek().at();
-            if (due - deadSince < 0 && heardAt - deadSince < 0) {
-                end("answers nothing", true);
-            } else if (due - silentSince < 0 && !silent) {
-                silent = true;
-                server.exchange.silent(this);
-            }
         }
     }
 
--- a/src/main/java/linenring/streams/StreamServer.java
+++ b/src/main/java/linenring/streams/StreamServer.java
@@ -36,9 +36,8 @@
     /** Who is so new may have said so, and it is not read yet: others make room first. */
     private static final long NEW_NS = TimeUnit.MILLISECONDS.toNanos(100);
     private static final int SPARE_SOCKETS = 12; // of our own, that those who are being let go may take
-    /** Proxies stand still for 2 s at times; who says nothing for longer while an answer is due counts as left. */
+    /** Proxies stand still for 2 s at times; who leaves a line without its end for longer has gone. */
     private static final long SILENT_NS = TimeUnit.SECONDS.toNanos(3);
-    private static final long DEAD_NS = TimeUnit.SECONDS.toNanos(60); // past any answer: its socket is freed
     private static final long SWEEP_MS = 250;
     private static final int HELD_MOST = 16 << 20; // bytes of begun lines, of all connections: a third of the heap
 
@@ -178,9 +177,9 @@
             long now = System.nanoTime();
             boolean stood = now - sweptAt > TimeUnit.MILLISECONDS.toNanos(2 * SWEEP_MS); // what came is not read yet
             sweptAt = now;
-            long past = stood ? now - DEAD_NS : now; // then nobody's silence is judged, and strangers have twice the time
+            int times = stood ? 2 : 1; // then everybody has twice the time
             for (PeerConnection connection : all) {
-                connection.judge(now - (stood ? 2 : 1) * STRANGER_NS, past - SILENT_NS, past - DEAD_NS);
+                connection.judge(now - times * STRANGER_NS, now - times * SILENT_NS);
             }
         } finally {
             if (!isClosed()) {
