Balance: no table larger than the channel carries, and newcomers are bound before drains

When four stewards died 640 proxies came to the fifth, and 30 hosts drained every 3 s: "joined 800 new 232 waiting 13510 of 17600 told 30 drainsWait true": a withdrawal to 800 that hold full tables takes 28,000 lines. At fault: bindProxies moved everybody on to full tables up to half of the queue, however deep it is (LINES x mostWaiting: 7.5 s here, 0.75 s on a small deployment); withdrawTold wrote to newcomers whose table a bind replaces anyway. Ruled out: CPU, silent proxies, the account.

Change: where full tables for all its proxies do not fit into the queue, each gets as much of the fleet as fits twice (a table of several parts, the least asked one for its weight); hosts that come later are dealt to the part that has the least; a part whose warm hosts have gone is left. Ordinary lines may wait a second at most. Newcomers are bound first and up to the whole queue; withdrawals then go to those whose tables hold the host, in that message. The gap between messages is each table's own. Orders.bindBrings is asked before a bind, as bind told only afterwards what it took (a bind of 400 more lines went over the queue). The count of messages to one proxy outlives its stream. It should also hold against list storms and zones that come back; it could hurt where traffic is so uneven that a few proxies load a part.

--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -3,12 +3,16 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
+import java.util.Collection;
 import java.util.Comparator;
+import java.util.LinkedHashSet;
 import java.util.List;
+import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
+import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import linenring.plan.Orders.FurtherTries;
@@ -37,7 +41,6 @@
         int strikes, part = -1;         // failed trials in a row; part that it is dealt to, or -1
         double share = 1, bears = 1;    // part of its weight that health allows, and its end after a trial
         double[] met = new double[3];   // late sums: ENDED, BAD, SPENT
-        double[] laid = {};             // weight in each shared table, as last sent
     }
 
     private static final class Zone {
@@ -49,29 +52,31 @@
     private static final class Message {
         int mark;
         double at, lines, leavesBy;
-        boolean left, lost;             // it has left the channel; its stream has ended
+        boolean left, lost;             // it is out of the channel; its stream has ended
     }
 
     private static final class Proxy {
         int id, zone;
-        int[] bound = {};               // number it is bound to, by shared table; -1 for none
+        Table[] bound = {};             // what it is bound to, by shared table; null for none
         final double[] asked = new double[Integer.SIZE]; // invocations a second, by operation
         double usual, fresh, out;       // asked a second, about; lines of this reply; lines not answered yet
         final ArrayDeque<Message> unanswered = new ArrayDeque<>();
         final ArrayDeque<Double> written = new ArrayDeque<>(); // times of the messages that the cap counts
-
     }
 
     /** A shared table, for the operations open to the same hosts. */
     private static final class Table {
-        int index, operations, homeZone; // homeZone: that of the proxies and hosts it is for, or -1
-        int number, length, base, part = -1; // a part: of that full table
+        int operations, homeZone;       // homeZone: that of the proxies and hosts it is for, or -1
+        int number, length, base;       // base: index of the full table that it stands for, or its own
+        int part = -1, span;            // the first of the parts that it is made of, and how many; or -1
         List<Host> members;             // the hosts that may be in it
+        final Set<Proxy> users = new LinkedHashSet<>();
+        double[] laid = {};             // weight by host, as last sent
+        double load, sentAt = -1e9;     // what its users are asked, about; when they were last written to
         Host owner;                     // slices: the host of its one line
         double weightListed, weightIn, warmIn, ableIn, ownerless; // of its open hosts; since when unowned
         final double[] letIn = new double[Integer.SIZE]; // by operation
         FurtherTries tries;
-
     }
 
     private final Orders orders;
@@ -89,10 +94,11 @@
     private final List<Zone> zones = Stream.generate(Zone::new).limit(Long.SIZE).toList(); // a mask's
     private final double[][] metBy = new double[Long.SIZE][3]; // sums of the warm hosts that are in, by kind
     private final List<BooleanSupplier> rules;
-    private double now, sentAt = -1e9, provenAt, fadedAt, roundTrip, alarmAt = -1, askAt, stormUntil = -1, metAt;
-    private boolean wholeList, drainsWait, rush, stale = true; // stale: sums or hosts have changed
+    private double now, provenAt, fadedAt, roundTrip, alarmAt = -1, askAt, stormUntil = -1, metAt;
+    private boolean wholeList, drainsWait, bindsWait, rush, stale = true; // stale: sums or hosts have changed
     private double waiting, reckonedAt, usualLate, mostLate, usualBad, ended, bad, rate;
-    private int mark, lastNumber, full; // full: number of full tables, which come before the parts
+    private int mark, lastNumber, full; // full: number of full tables, which come before all others
+    private int parts, span;            // parts that hosts are dealt to; of a table, or 0 for full tables
     private double letIn = 1, levelAt, forgetAt = Double.POSITIVE_INFINITY;
     private double objective = 1000, quickest = 0.2; // until the first sums
     private final double[] opLevel = IntStream.range(0, Integer.SIZE).mapToDouble(k -> 1).toArray();
@@ -123,25 +129,28 @@
         }
         full = tables.size();
         rules = List.of(
-                this::withdrawTold,
                 this::senseCut,
+                this::dealParts,
+                () -> bindProxies(true),
+                this::withdrawTold,
                 each(this::fails, this::markSick),
                 each(this::isSlow, h -> setShare(h, 0.5 * h.share)),
                 each(this::isOfSlowKind, h -> h.share = h.bears = 0.5),
                 each(this::wasSlow, h -> setShare(h, Math.min(1, 2 * h.share))),
-                each(h -> h.running && h.sick && !h.out && mayTrouble() && spared(h), h -> withdraw(h, true)),
+                each(h -> h.running && h.sick && !h.out && mayTrouble(h) && spared(h),
+                        h -> withdraw(h, true)),
                 each(h -> h.sick && h.running && now >= h.backAt,
                         h -> startTrial(h, h.bears < 1 ? h.bears : 0.15)),
                 each(this::passesTrial, this::growShare),
                 each(h -> h.sick && h.out && isLast(h), h -> startTrial(h, 1)),
-                each(h -> h.running && !h.out && inTables(h) && keptFromStorm(h) && mayTrouble(),
+                each(h -> h.running && !h.out && keptFromStorm(h) && !tablesWith(h).isEmpty()
+                        && mayTrouble(h),
                         h -> withdraw(h, true)),
                 this::cutRestarted,
                 this::placeSlices,
-                this::dealParts,
                 this::sendSubUpdate,
-                this::bindProxies,
-                each(h -> backIn(h) && mayTrouble(), h -> withdraw(h, false)),
+                () -> bindProxies(false),
+                each(h -> backIn(h) && mayTrouble(h), h -> withdraw(h, false)),
                 this::setLevels);
     }
 
@@ -222,7 +231,7 @@
 
     private void drop(Host h) {
         h.running = false;
-        h.out &= newcomers().isEmpty(); // these were not there when it was shut out for its health
+        h.out &= joined.stream().noneMatch(this::newcomer); // not there when it was shut out for its health
         h.told = stale = true;
     }
 
@@ -235,7 +244,7 @@
         Proxy p = proxy(id);
         p.zone = zone;
         p.usual = usual;
-        p.bound = IntStream.range(0, full).map(b -> -1).toArray();
+        p.bound = new Table[full];
         joined = Stream.concat(joined.stream(), Stream.of(p))
                 .sorted(Comparator.comparingDouble(o -> -o.usual)).toList(); // asked most: bound first
     }
@@ -244,7 +253,7 @@
         Proxy p = proxy(id);   // though what is on its way to it is still in the channel
         p.unanswered.forEach(m -> m.lost = true);
         p.unanswered.clear();
-        p.written.clear();
+        IntStream.range(0, p.bound.length).forEach(b -> put(p, b, null));
         p.fresh = p.out = 0;
         joined = joined.stream().filter(o -> o != p).toList();
     }
@@ -265,9 +274,9 @@
     }
 
     /**
-     * A message waits until its proxy answers it or a later one. Where no answer comes it has left once the channel, at
-     * its stated pace, has had time for all that was ahead of it, and its stream has ended or a later message to
-     * another was answered. The order alone proves nothing: what is lost with a stream makes way for later ones.
+     * A message waits until its proxy answers it or a later one. Where no answer comes it has left once the
+     * channel, at its stated pace, has had time for all ahead of it, and its stream has ended or a later
+     * message to another was answered. The order alone proves nothing: what is lost makes way for later ones.
      */
     private void reckonChannel() {
         inChannel.removeIf(m -> m.left || now > m.leavesBy + transitMost && (m.lost || m.at < provenAt)
@@ -296,7 +305,7 @@
         Table t = sliceTable(slice);
         t.owner = null;
         t.ownerless = given ? now : Double.POSITIVE_INFINITY; // another steward's owner may still be writing
-        hosts.forEach(h -> setLaid(h, t, 0));
+        Arrays.fill(t.laid, t.length = 0);
     }
 
     public void held(int slice, int id, double weight) {
@@ -332,7 +341,7 @@
 
     private Table addTable(int mask, int homeZone, int number) {
         Table t = new Table();
-        t.index = t.base = tables.size();
+        t.base = tables.size();
         t.members = hosts;
         t.operations = mask;
         t.homeZone = homeZone;
@@ -355,8 +364,18 @@
                 .orElseGet(() -> addTable(0, -1, slice));
     }
 
-    private List<Proxy> users(Table t) {
-        return joined.stream().filter(p -> sliced || p.bound[t.base] == t.number).toList();
+    private Collection<Proxy> users(Table t) {
+        return sliced ? joined : t.users;
+    }
+
+    private void put(Proxy p, int base, Table t) {
+        if (p.bound[base] != null && p.bound[base].users.remove(p)) {
+            p.bound[base].load -= p.usual;
+        }
+        p.bound[base] = t;
+        if (t != null && t.users.add(p)) {
+            t.load += p.usual;
+        }
     }
 
     private void order(Proxy p, double lines) {
@@ -368,24 +387,29 @@
         return lines + (p.fresh > 0 ? 0 : perMessage); // what is begun takes no further message
     }
 
+    private Operation operation(Table t) { // one of those that it is for
+        return operations[Integer.numberOfTrailingZeros(t.operations) % operations.length];
+    }
+
     private boolean open(Host h, Table t) {
-        Operation op = operations[Integer.numberOfTrailingZeros(t.operations) % operations.length];
+        Operation op = operation(t);
         return (op.zones() >> h.zone & 1) != 0 && (op.kinds() >> h.kind & 1) != 0
-                && (t.homeZone < 0 || t.homeZone == h.zone) && (t.part < 0 || t.part == h.part);
+                && (t.homeZone < 0 || t.homeZone == h.zone)
+                && (t.part < 0 || h.part >= t.part && h.part < t.part + t.span);
     }
 
     private double laid(Host h, Table t) {
-        return t.index < h.laid.length ? h.laid[t.index] : 0;
+        return h.id < t.laid.length ? t.laid[h.id] : 0;
     }
 
     private void setLaid(Host h, Table t, double weight) {
-        h.laid = h.laid.length > t.index ? h.laid : Arrays.copyOf(h.laid, t.index + 1);
-        t.length += (weight > 0 ? 1 : 0) - (h.laid[t.index] > 0 ? 1 : 0);
-        h.laid[t.index] = weight;
+        t.laid = t.laid.length > h.id ? t.laid : Arrays.copyOf(t.laid, h.id + 32);
+        t.length += (weight > 0 ? 1 : 0) - (t.laid[h.id] > 0 ? 1 : 0);
+        t.laid[h.id] = weight;
     }
 
-    private boolean inTables(Host h) {
-        return Arrays.stream(h.laid).anyMatch(w -> w > 0);
+    private List<Table> tablesWith(Host h) {
+        return tables.stream().filter(t -> laid(h, t) > 0).toList();
     }
 
     private void fade(Host h, double keep) {
@@ -436,28 +460,36 @@
 
     private boolean withdrawTold() { // together, as each message has a head, a quarter of the queue at least
         List<Host> told = hosts.stream().filter(h -> h.told && !h.out).toList();
-        double users = Math.max(1, joined.size()), room = (mostWaiting - waiting) / users - perMessage;
-        double least = Math.min(told.size(), Math.max(1, 0.25 * mostWaiting / users - perMessage));
-        drainsWait = least > 0 && !mayWrite(joined, least, DRAINS); // nothing else is written meanwhile
-        told.stream().limit(drainsWait ? 0 : (long) Math.max(1, room)).forEach(h -> withdraw(h, true));
-        return least > 0 && !drainsWait;
+        List<Proxy> concerned = told.isEmpty() ? List.of() : joined.stream()
+                .filter(p -> told.stream().anyMatch(h -> holds(p, h))).toList();
+        double room = mostWaiting - waiting, need = concerned.stream()
+                .mapToDouble(p -> cost(p, told.stream().filter(h -> holds(p, h)).count())).sum();
+        drainsWait = !told.isEmpty() && (bindsWait || need > room && room < 0.25 * mostWaiting
+                || !mayWrite(concerned, 0, DRAINS)); // nothing else is written meanwhile
+        return !drainsWait && told.stream().filter(h -> waiting + holders(h).stream()
+                .mapToDouble(p -> cost(p, 1)).sum() <= mostWaiting).mapToInt(h -> {
+                    withdraw(h, true);
+                    return 1;
+                }).sum() > 0;
+    }
+
+    private List<Proxy> holders(Host h) { // no others get a message
+        return joined.stream().filter(p -> holds(p, h)).toList();
+    }
+
+    private boolean holds(Proxy p, Host h) { // a standing table, or another steward's, may hold any host
+        return sliced || Arrays.stream(p.bound).anyMatch(t -> t == null || laid(h, t) > 0);
     }
 
     private void withdraw(Host h, boolean out) {
         h.out = out;
         stale = true;
         orders.withdraw(h.id, out);
-        List<Table> in = tables.stream().filter(t -> laid(h, t) > 0).toList(); // no others get a message
-        joined.stream().filter(p -> sliced || newcomer(p)
-                || in.stream().anyMatch(t -> p.bound[t.base] == t.number)).forEach(p -> order(p, 1));
-    }
-
-    private List<Proxy> newcomers() {
-        return joined.stream().filter(this::newcomer).toList();
+        holders(h).forEach(p -> order(p, 1));
     }
 
     private boolean newcomer(Proxy p) {
-        return Arrays.stream(p.bound).anyMatch(b -> b == -1);
+        return Arrays.stream(p.bound).anyMatch(b -> b == null);
     }
 
     // ---- 1 health from late sums and trial return
@@ -490,8 +522,8 @@
                 Arrays.fill(z.far, 0);
             }
             for (Table t : now < z.cutUntil ? List.copyOf(tables.subList(0, full)) : List.<Table>of()) {
-                if (tables.stream().noneMatch(o -> o.base == t.index && o.homeZone == zones.indexOf(z))) {
-                    addTable(t.operations, zones.indexOf(z), 0).base = t.index;
+                if (tables.stream().noneMatch(o -> o.base == t.base && o.homeZone == zones.indexOf(z))) {
+                    addTable(t.operations, zones.indexOf(z), 0).base = t.base;
                 }
             }
         }
@@ -499,7 +531,7 @@
     }
 
     private Table reach(Proxy p, Table base) { // the full table, or that of the proxy's own zone
-        return now >= zones.get(p.zone).cutUntil ? base : tables.stream().filter(t -> t.base == base.index
+        return now >= zones.get(p.zone).cutUntil ? base : tables.stream().filter(t -> t.base == base.base
                 && t.homeZone == p.zone && t.part < 0 && t.warmIn > 0 && t.length > 0).findAny().orElse(base);
     }
 
@@ -584,24 +616,25 @@
     private boolean keptFromStorm(Host h) {
         reckon();
         return now < stormUntil && !isWarm(h)
-                && tables.stream().allMatch(t -> !open(h, t) || t.warmIn > 0);
+                && tables.stream().allMatch(t -> !inUse(t) || !open(h, t) || t.warmIn > 0);
     }
 
     /** Guards against a restarted or weak host that keeps its full weight: cut past the windows. */
     private boolean cutRestarted() {
         return each(h -> !h.out && h.running && (h.share < 1 || !isWarm(h)) && tables.stream()
                 .anyMatch(t -> wanted(h, t) < 0.6 * laid(h, t))
-                && (isWarm(h) ? mayTrouble() : mayWrite(joined, 1, URGENT)),
+                && (isWarm(h) ? mayTrouble(h) : mayWrite(holders(h), 1, URGENT)),
                 h -> tables.forEach(t -> lay(h, t, wanted(h, t)))).getAsBoolean();
     }
 
     private boolean spared(Host h) { // half of the weight that each table can use stays in
         reckon();
-        return tables.stream().allMatch(t -> !open(h, t) || t.weightIn - h.weight >= 0.5 * t.weightListed);
+        return tables.stream().allMatch(t -> !inUse(t) || !open(h, t)
+                || t.weightIn - h.weight >= 0.5 * t.weightListed);
     }
 
     private boolean isLast(Host h) { // of a table left with none but sick hosts: they are let back in
-        return h.running && tables.stream().anyMatch(t -> open(h, t)
+        return h.running && tables.stream().anyMatch(t -> inUse(t) && open(h, t)
                 && hosts.stream().noneMatch(o -> o.running && !o.sick && open(o, t)));
     }
 
@@ -638,14 +671,32 @@
         return depth == 2 ? unbound(t).count() * (1.0 + t.length) : pending(t) * users(t).size();
     }
 
+    private boolean isFull(Table t) {
+        return t.base < full && tables.get(t.base) == t;
+    }
+
+    private boolean inUse(Table t) {
+        return sliced || isFull(t) || !t.users.isEmpty();
+    }
+
     private Stream<Proxy> unbound(Table t) {
-        return joined.stream().filter(p -> !sliced && p.bound[t.base] != reach(p, t).number
-                && (t.homeZone < 0 || t.homeZone == p.zone) && t.length > 0 && t.part < 0);
+        return joined.stream().filter(p -> isFull(t) && t.length > 0
+                && (t.homeZone < 0 || t.homeZone == p.zone) && mustMove(p, t));
+    }
+
+    private boolean mustMove(Proxy p, Table base) {
+        Table on = p.bound[base.base], to = reach(p, base);
+        return on != to && (on == null || to != base || span == 0 || on.part < 0 || on.span < span / 2
+                || isWeak(on));
+    }
+
+    private boolean isWeak(Table t) { // a part whose warm hosts have gone
+        return t.warmIn < 0.5 * tables.get(t.base).warmIn * t.span / Math.max(1, parts);
     }
 
     /** The depth rule: where binds would be last of all to finish, the table's other lines wait for them. */
     private boolean onlyBinds(Table t) {
-        return t.index < full && unsent(t, 2) > 0 && (2 * roundTrip * pace + unsent(t, 2)) * 1.05
+        return isFull(t) && unsent(t, 2) > 0 && (2 * roundTrip * pace + unsent(t, 2)) * 1.05
                 > tables.subList(0, full).stream().mapToDouble(o -> unsent(o, 1) + unsent(o, 2)).max()
                 .orElse(0);
     }
@@ -655,6 +706,7 @@
             orders.line(t.number, h.id, weight);
             setLaid(h, t, weight);
             users(t).forEach(p -> order(p, 1));
+            t.sentAt = now;
         }
     }
 
@@ -667,7 +719,7 @@
     /** The smallest pending sub-update goes first; each is sent whole, once all its proxies have room. */
     private boolean sendSubUpdate() {
         double gap = Math.max(roundTrip, messagesMost > 0 ? messagesOver / (0.6 * messagesMost) : 0);
-        Table next = tables.stream().filter(t -> t.length == 0 || gapOver(gap) || cutDue(t))
+        Table next = tables.stream().filter(t -> t.length == 0 || gapOver(t, gap) || cutDue(t))
                 .filter(t -> pending(t) > 0 && !onlyBinds(t))
                 .filter(t -> allHaveRoom(t, Math.min(pending(t), piece(t))))
                 .min(Comparator.comparingDouble(t -> unsent(t, 1))).orElse(null);
@@ -678,78 +730,117 @@
         return true;
     }
 
-    private boolean bindProxies() { // newcomers first, as they may hold hosts that drain
+    private boolean bindProxies(boolean fresh) { // newcomers first, as they may hold hosts that drain
         reckon();
-        tables.stream().filter(t -> t.part >= 0 && t.warmIn == 0).forEach(t -> // one with no host left
-                users(t).forEach(p -> p.bound[t.base] = -1));
-        boolean fired = false, all = newcomers().isEmpty();
-        boolean laid = tables.stream().noneMatch(t -> t.length == 0 && t.weightIn > 0); // first the lines
-        for (Table t : laid ? tables.subList(0, full) : List.<Table>of()) {
-            for (Proxy p : unbound(t).filter(p -> all || p.bound[t.base] == -1).toList()) {
-                Table to = rush && p.bound[t.base] == -1 ? partFor(p, t) : reach(p, t);
-                double lines = 1 + to.length + operations.length + // and the withdrawn hosts come along
-                        to.members.stream().filter(h -> h.out && laid(h, to) > 0).count();
-                if (mayWrite(List.of(p), lines, to == t ? LINES : URGENT)) {
-                    p.bound[t.base] = to.number;
-                    order(p, lines + orders.bind(to.number, to.operations, p.id));
+        boolean fired = bindsWait = false;
+        for (Table t : tables.stream().allMatch(t -> t.length > 0 || t.weightIn == 0) // first the lines
+                ? tables.subList(0, full) : List.<Table>of()) {
+            for (Proxy p : unbound(t).filter(p -> !fresh || p.bound[t.base] == null).toList()) {
+                Table to = reach(p, t) != t ? reach(p, t) : fresh && rush ? partFor(t, 1)
+                        : span > 0 ? partFor(t, span) : t;
+                double lines = 1 + to.length + operations.length + orders.bindBrings(to.number, p.id)
+                        + to.members.stream().filter(h -> h.out && laid(h, to) > 0).count(); // withdrawn: too
+                if (mayWrite(List.of(p), lines, fresh ? DRAINS : LINES)) {
+                    put(p, t.base, to);
+                    orders.bind(to.number, to.operations, p.id);
+                    order(p, lines);
                     fired = true;
+                } else {
+                    bindsWait |= fresh && waiting + cost(p, lines) > mostWaiting;
                 }
             }
         }
         return fired;
     }
 
-    private Table partFor(Proxy p, Table base) {
-        List<Table> parts = tables.stream().filter(t -> t.part >= 0 && t.base == base.base && t.warmIn > 0)
-                .toList();
-        return parts.isEmpty() ? base : parts.get(p.id % parts.size());
+    private Table partFor(Table base, int wide) { // where the least is asked for what there is
+        return partsOf(base, wide).stream().filter(t -> t.warmIn > 0)
+                .min(Comparator.comparingDouble(t -> (t.load + 1e-6) / t.warmIn)).orElse(base);
+    }
+
+    private List<Table> partsOf(Table base, int wide) { // those that take a turn each at the dealt parts
+        int count = Math.max(1, parts / wide);
+        return IntStream.range(0, count).mapToObj(i -> {
+            int from = i * parts / count, to = (i + 1) * parts / count;
+            return tables.stream().filter(t -> t.base == base.base && t.part == from && t.span == to - from)
+                    .findFirst().orElseGet(() -> {
+                        Table t = addTable(base.operations, base.homeZone, 0);
+                        t.base = base.base;
+                        t.part = from;
+                        t.span = to - from;
+                        t.members = hosts.stream().filter(h -> open(h, t)).collect(Collectors.toList());
+                        stale = true;
+                        reckon();
+                        layDue(t);
+                        return t;
+                    });
+        }).toList();
     }
 
     /**
-     * Guards against newcomers that wait over a second for full tables with old ones emptied by drains: they
-     * first get a part, as many hosts as a standing table. It could harm by uneven load meanwhile.
+     * Guards against tables that the channel can't carry. Where full ones for all its proxies do not fit into
+     * the queue, each gets as much of the fleet as fits twice; newcomers that would wait over a second for
+     * it, with old tables emptied by drains, first get a standing table's size. It could harm by uneven load.
      */
     private boolean dealParts() {
         reckon();
-        double lines = tables.stream().mapToDouble(t -> t.part < 0 ? t.length : 0).sum();
-        rush = !sliced && waiting + newcomers().size() * lines > 1000 * pace;
-        if (rush && tables.stream().allMatch(t -> t.part < 0)) {
-            List<Host> in = hosts.stream().filter(h -> h.running && !h.out && isWarm(h))
-                    .sorted(Comparator.comparingInt(h -> h.zone)).toList();
-            int count = Math.max(1, in.size() / standing);
-            IntStream.range(0, in.size()).forEach(i -> in.get(i).part = i % count);
-            for (int i = 0; i < count * full; i++) {
-                Table t = addTable(tables.get(i % full).operations, tables.get(i % full).homeZone, 0);
-                t.base = i % full;
-                t.part = i / full;
-                t.members = in.stream().filter(h -> h.part == t.part).toList();
+        double each = mostWaiting / Math.max(1, joined.size()) - perMessage - 1 - operations.length;
+        double lines = tables.subList(0, full).stream().mapToDouble(t -> t.length
+                / (t.homeZone < 0 ? 1.0 : operation(t).zoneCount())).sum(); // of one proxy
+        List<Host> in = hosts.stream().filter(h -> h.running && !h.out && isWarm(h))
+                .sorted(Comparator.comparingInt((Host h) -> h.zone).thenComparingInt(h -> h.kind)).toList();
+        boolean wide = !sliced && lines > (span > 0 ? 0.8 : 1) * each;
+        rush = !sliced && waiting + joined.stream().filter(this::newcomer).count() * Math.min(lines, each / 2)
+                > 1000 * pace;
+        if ((rush || wide) && parts == 0 && !in.isEmpty()) {
+            parts = Math.max(1, in.size() / standing);
+            IntStream.range(0, in.size()).forEach(i -> in.get(i).part = i % parts);
+        }
+        double size = (each - perMessage - 1 - operations.length) / 2; // lines that fit twice
+        int fits = wide ? (int) Math.max(1, parts * Math.min(1, size / lines)) % Math.max(1, parts) : 0;
+        span = fits == 0 || span == 0 || fits > 2 * span || fits < span / 2 ? fits : span;
+        for (Host h : parts == 0 ? List.<Host>of() : hosts) { // who has come since goes where the least is
+            if (h.running && h.part < 0) {
+                h.part = IntStream.range(0, parts).boxed().min(Comparator.comparingDouble(i -> hosts.stream()
+                        .filter(o -> o.running && o.part == i).mapToDouble(o -> o.weight).sum())).orElse(0);
+                tables.stream().filter(t -> t.part >= 0 && open(h, t)).forEach(t -> t.members.add(h));
+                stale = true;
             }
-            stale = true;
-        } else if (!rush && !sliced && zones.stream().allMatch(z -> now >= z.cutUntil)
-                && tables.stream().allMatch(t -> t.index < full || users(t).isEmpty())) {
-            tables.subList(full, tables.size()).forEach(t -> orders.wipe(t.number));
-            tables.subList(full, tables.size()).clear();
-            hosts.forEach(h -> h.laid = Arrays.copyOf(h.laid, full));
+        }
+        List<Table> idle = tables.stream().filter(t -> !sliced && !isFull(t) && t.users.isEmpty()
+                && zones.stream().allMatch(z -> now >= z.cutUntil)
+                && (t.part < 0 || !rush && (span == 0 || Math.abs(t.span - span) > 1))).toList();
+        idle.forEach(t -> orders.wipe(t.number));
+        tables.removeAll(idle);
+        if (!rush && !wide && tables.stream().allMatch(t -> t.part < 0)) {
             hosts.forEach(h -> h.part = -1);
+            parts = 0;
         }
         return false;
     }
 
     // ---- 4 channel ledger
 
-    private boolean gapOver(double least) { // later changes merge; a quarter of the channel for heads
-        return now - sentAt >= Math.max(least, 4 * joined.size() * perMessage / pace)
-                || joined.stream().allMatch(p -> p.fresh > 0);
+    private boolean gapOver(Table t, double least) { // later changes merge; a quarter of it all for heads
+        return now - t.sentAt >= Math.max(least, 4 * joined.size() * perMessage / pace)
+                || users(t).stream().allMatch(p -> p.fresh > 0);
+    }
+
+    private boolean mayTrouble(Host h) {
+        return tablesWith(h).stream().allMatch(t -> gapOver(t, 0))
+                && mayWrite(holders(h), 1, URGENT);
     }
 
-    private boolean mayTrouble() {
-        return gapOver(0) && mayWrite(joined, 1, URGENT);
+    /** How much may wait: the ordinary stands a second at most before the rest, however deep the queue is. */
+    private double upTo(double part) {
+        return part > LINES ? part * mostWaiting : Math.min(LINES * mostWaiting,
+                Math.max(1000 * pace, 2 * joined.size() * (1 + perMessage)));
     }
 
-    private boolean mayWrite(List<Proxy> to, double lines, double part) {
+    private boolean mayWrite(Collection<Proxy> to, double lines, double part) {
         boolean slow = roundTrip > 0.5 * grace && waiting > 0.25 * mostWaiting; // a drain would come too late
         return (part == DRAINS || !drainsWait && !slow)
-                && waiting + to.stream().mapToDouble(p -> cost(p, lines)).sum() <= part * mostWaiting
+                && waiting + to.stream().mapToDouble(p -> cost(p, lines)).sum() <= upTo(part)
                 && to.stream().allMatch(p -> messagesMost == 0 || p.fresh > 0
                 || capUsed(p) + 1 <= Math.min(part + 0.2, Math.max(part, URGENT)) * messagesMost);
     }
@@ -767,11 +858,11 @@
 
     /** Guards against a sub-update that no queue holds: then it goes in pieces of half of what one may. */
     private long piece(Table t) {
-        return (long) Math.max(1, 0.5 * LINES * mostWaiting / Math.max(1, users(t).size()) - perMessage);
+        return (long) Math.max(1, 0.5 * upTo(LINES) / Math.max(1, users(t).size()) - perMessage);
     }
 
     private boolean allHaveRoom(Table t, double lines) {
-        List<Proxy> users = users(t);
+        Collection<Proxy> users = users(t);
         return mayWrite(users, lines, LINES) && users.stream().allMatch(p -> hasRoom(p, lines, users.size()));
     }
 
@@ -781,7 +872,6 @@
         if (!concerned.isEmpty()) {
             orders.barrier(mark, false);
         }
-        sentAt = concerned.size() == joined.size() ? now : sentAt;
         reckonChannel(); // without what was only reckoned with
         for (Proxy p : concerned) {
             Message m = new Message();
@@ -806,7 +896,7 @@
 
     private void layLevel(Table t, int k) {
         t.letIn[k] = opLevel[k];
-        double each = asked(k) / Math.max(1, users(t).size());
+        double each = users(t).stream().mapToDouble(p -> p.asked[k]).sum() / Math.max(1, users(t).size());
         double figure = measure != Measure.PER_SECOND ? opLevel[k] : opLevel[k] < 1 ? opLevel[k] * each
                 : 1e6; // more than any proxy is asked
         orders.level(t.number, 1 << k, figure, tries());
--- a/src/main/java/linenring/plan/Orders.java
+++ b/src/main/java/linenring/plan/Orders.java
@@ -18,11 +18,14 @@
     /** Shuts a host out of every table that joined proxies hold, or lets it back in. */
     void withdraw(int host, boolean out);
 
+    /** Puts a proxy on a table for the operations in the mask (bit k for operation k; 0 for all). */
+    void bind(int table, int operations, int proxy);
+
     /**
-     * Puts a proxy on a table for the operations in the mask (bit k for operation k; 0 for all). Tells how many lines
-     * the message takes beyond the table's own, its levels and its withdrawn hosts.
+     * How many lines a bind would take beyond the table's own, its levels and its withdrawn hosts; asked before it is
+     * ordered, as the channel may hold only so many.
      */
-    int bind(int table, int operations, int proxy);
+    int bindBrings(int table, int proxy);
 
     /** Sets how much of the operations is let in, and how proxies try again. */
     void level(int table, int operations, double letIn, FurtherTries tries);
--- a/src/main/java/linenring/steward/Books.java
+++ b/src/main/java/linenring/steward/Books.java
@@ -139,10 +139,10 @@
     }
 
     @Override
-    public int bind(int table, int mask, int proxy) {
+    public void bind(int table, int mask, int proxy) {
         Proxy p = proxies.get(proxy);
         if (p.stream == null) {
-            return 0; // it has left
+            return; // it has left
         }
         for (int k = 0; k < p.bound.length; k++) {
             if (meant(mask, k)) {
@@ -151,8 +151,12 @@
             }
         }
         concerned.add(p);
-        return (int) table(table).lines.keySet().stream().filter(h -> !out.get(h) && p.mustBeLetBack(h))
-                .count();
+    }
+
+    @Override
+    public int bindBrings(int table, int proxy) {
+        Proxy p = proxies.get(proxy);
+        return (int) table(table).lines.keySet().stream().filter(h -> !out.get(h) && p.mustBeLetBack(h)).count();
     }
 
     @Override
--- a/src/main/java/linenring/wirehost/Steward.java
+++ b/src/main/java/linenring/wirehost/Steward.java
@@ -66,9 +66,13 @@
     }
 
     @Override
-    public int bind(int table, int operations, int proxy) {
+    public void bind(int table, int operations, int proxy) {
         order("subscribe_to").append(" Sheet=").append(table).append(" Mask=").append(operations)
                 .append(" Sidecar=").append(proxy).append('\n');
+    }
+
+    @Override
+    public int bindBrings(int table, int proxy) {
         return 0; // there a bind ends the withdrawals of others by itself
     }
 
