--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -521,7 +521,7 @@
                 z.cutUntil = now + 10_000; // then the far hosts are tried anew
                 Arrays.fill(z.far, 0);
             }
-            for (Table t : now < z.cutUntil ? List.copyOf(tables.subList(0, full)) : List.<Table>of()) {
+            for (Table t : now < z.cutUntil ? tables.subList(0, full) : List.<Table>of()) {
                 if (tables.stream().noneMatch(o -> o.base == t.base && o.homeZone == zones.indexOf(z))) {
                     addTable(t.operations, zones.indexOf(z), 0).base = t.base;
                 }
@@ -734,7 +734,7 @@
         reckon();
         boolean fired = bindsWait = false;
         for (Table t : tables.stream().allMatch(t -> t.length > 0 || t.weightIn == 0) // first the lines
-                ? tables.subList(0, full) : List.<Table>of()) {
+                ? List.copyOf(tables.subList(0, full)) : List.<Table>of()) {
             for (Proxy p : unbound(t).filter(p -> !fresh || p.bound[t.base] == null).toList()) {
                 Table to = reach(p, t) != t ? reach(p, t) : fresh && rush ? partFor(t, 1)
                         : span > 0 ? partFor(t, span) : t;
--- a/src/test/java/linenring/plan/BalanceTest.java
+++ b/src/test/java/linenring/plan/BalanceTest.java
@@ -437,6 +437,17 @@
         assertEquals(Set.of(full), f.tables.keySet()); // the parts are cleared
     }
 
+    @Test
+    void newcomersGetPartsOfEachTableWhereOperationsAreOpenToDifferentHosts() {
+        FakeHost f = new FakeHost(figures(0, FakeHost.operation(1, FakeHost.ALL), FakeHost.operation(1, 1))).fleet(40, 0);
+        for (int p = 0; p < 60; p++) {
+            f.join(p);
+        }
+        f.settle();
+        assertEquals(60, f.bound.size()); // the latest bind of each is to a part of the second table
+        assertTrue(f.bound.values().stream().allMatch(t -> f.tables.get(t).keySet().stream().allMatch(h -> h % 2 == 0)));
+    }
+
     @Test
     void drainsThatFindNoRoomGoTogetherAndFirst() {
         FakeHost f = new FakeHost(figures(0)).fleet(6, 120);
