Balance: tables by what the channel sends in a third of the ramp; parts balanced by what is asked

Printed ledger: "joined 80 waiting 0 of 3300 parts 5 span 1 lines 30": the queue is sized for all proxies on one steward, so "fits twice" kept 80 proxies on 6 hosts each after others had left, where full tables take 2.3 s; and ordinary lines within one second cut sub-updates to 2 lines a message of 80 x 5 heads, so the ramp of new hosts lagged (late and timed out from 10 to 20 s).

Change: a table gets what the channel can send to all its proxies in a third of the ramp of 10 s, which the design names; ordinary lines may wait two seconds. A part from which hosts have gone, or of which 1.5 times as much is asked as of the fleet, is left by some; new hosts are spread evenly, cold ones first of all.

--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -12,7 +12,6 @@
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
-import java.util.stream.Collectors;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import linenring.plan.Orders.FurtherTries;
@@ -26,7 +25,7 @@
  * pending changes of a shared table are one sub-update; the smallest goes first, as a batch, once all its
  * proxies have room in their windows of unanswered messages. Beside it stand six mechanisms: 1 health from
  * late sums and trial return; 2 guards of cold and last hosts; 3 levels and further tries; 4 channel
- * ledger; 5 parts of tables for newcomers and behind a cut; 6 start-over (owners of slices included).
+ * ledger; 5 parts of tables for a slow channel and behind a cut; 6 start-over (owners of slices included).
  */
 public final class Balance {
     private static final int ENDED = 0, BAD = 1, SPENT = 2;
@@ -72,7 +71,7 @@
         List<Host> members;             // the hosts that may be in it
         final Set<Proxy> users = new LinkedHashSet<>();
         double[] laid = {};             // weight by host, as last sent
-        double load, sentAt = -1e9;     // what its users are asked, about; when they were last written to
+        double load, sentAt = -1e9;     // what all whom it may be for are asked; when it was last written
         Host owner;                     // slices: the host of its one line
         double weightListed, weightIn, warmIn, ableIn, ownerless; // of its open hosts; since when unowned
         final double[] letIn = new double[Integer.SIZE]; // by operation
@@ -369,13 +368,9 @@
     }
 
     private void put(Proxy p, int base, Table t) {
-        if (p.bound[base] != null && p.bound[base].users.remove(p)) {
-            p.bound[base].load -= p.usual;
-        }
+        Stream.ofNullable(p.bound[base]).forEach(on -> on.users.remove(p));
         p.bound[base] = t;
-        if (t != null && t.users.add(p)) {
-            t.load += p.usual;
-        }
+        Stream.ofNullable(t).forEach(on -> on.users.add(p));
     }
 
     private void order(Proxy p, double lines) {
@@ -434,6 +429,7 @@
         }
         for (Table t : tables) {
             t.weightListed = t.weightIn = t.warmIn = t.ableIn = 0;
+            t.load = load(joined.stream().filter(p -> t.homeZone < 0 || t.homeZone == p.zone).toList());
             for (Host h : t.members) {
                 double weight = h.running && open(h, t) ? h.weight : 0;
                 t.weightListed += weight;
@@ -486,10 +482,11 @@
         stale = true;
         orders.withdraw(h.id, out);
         holders(h).forEach(p -> order(p, 1));
+        tablesWith(h).forEach(t -> t.sentAt = now);
     }
 
     private boolean newcomer(Proxy p) {
-        return Arrays.stream(p.bound).anyMatch(b -> b == null);
+        return Arrays.asList(p.bound).contains(null);
     }
 
     // ---- 1 health from late sums and trial return
@@ -686,19 +683,22 @@
 
     private boolean mustMove(Proxy p, Table base) {
         Table on = p.bound[base.base], to = reach(p, base);
-        return on != to && (on == null || to != base || span == 0 || on.part < 0 || on.span < span / 2
-                || isWeak(on));
+        return on != to && (on == null || to != base || span == 0 || on.part < 0
+                || 2 * on.span < span || isWeak(on));
+    }
+
+    private boolean isWeak(Table t) { // a part that hosts have left, or more asked than others
+        return load(t.users) * tables.get(t.base).warmIn > 1.5 * tables.get(t.base).load * t.warmIn;
     }
 
-    private boolean isWeak(Table t) { // a part whose warm hosts have gone
-        return t.warmIn < 0.5 * tables.get(t.base).warmIn * t.span / Math.max(1, parts);
+    private double load(Collection<Proxy> of) {
+        return of.stream().mapToDouble(p -> p.usual).sum();
     }
 
     /** The depth rule: where binds would be last of all to finish, the table's other lines wait for them. */
     private boolean onlyBinds(Table t) {
         return isFull(t) && unsent(t, 2) > 0 && (2 * roundTrip * pace + unsent(t, 2)) * 1.05
-                > tables.subList(0, full).stream().mapToDouble(o -> unsent(o, 1) + unsent(o, 2)).max()
-                .orElse(0);
+                > tables.stream().limit(full).mapToDouble(o -> unsent(o, 1) + unsent(o, 2)).max().orElse(0);
     }
 
     private void lay(Host h, Table t, double weight) {
@@ -706,7 +706,6 @@
             orders.line(t.number, h.id, weight);
             setLaid(h, t, weight);
             users(t).forEach(p -> order(p, 1));
-            t.sentAt = now;
         }
     }
 
@@ -714,6 +713,7 @@
         t.members.stream().filter(h -> due(h, t)).limit(piece(t)).forEach(h -> lay(h, t, wanted(h, t)));
         IntStream.range(0, operations.length).filter(k -> levelDue(t, k)).forEach(k -> layLevel(t, k));
         t.tries = tries();
+        t.sentAt = now;
     }
 
     /** The smallest pending sub-update goes first; each is sent whole, once all its proxies have room. */
@@ -723,11 +723,8 @@
                 .filter(t -> pending(t) > 0 && !onlyBinds(t))
                 .filter(t -> allHaveRoom(t, Math.min(pending(t), piece(t))))
                 .min(Comparator.comparingDouble(t -> unsent(t, 1))).orElse(null);
-        if (next == null) {
-            return false;
-        }
-        layDue(next);
-        return true;
+        Stream.ofNullable(next).forEach(this::layDue);
+        return next != null;
     }
 
     private boolean bindProxies(boolean fresh) { // newcomers first, as they may hold hosts that drain
@@ -740,7 +737,7 @@
                         : span > 0 ? partFor(t, span) : t;
                 double lines = 1 + to.length + operations.length + orders.bindBrings(to.number, p.id)
                         + to.members.stream().filter(h -> h.out && laid(h, to) > 0).count(); // withdrawn: too
-                if (mayWrite(List.of(p), lines, fresh ? DRAINS : LINES)) {
+                if (mustMove(p, t) && mayWrite(List.of(p), lines, fresh ? DRAINS : LINES)) {
                     put(p, t.base, to);
                     orders.bind(to.number, to.operations, p.id);
                     order(p, lines);
@@ -753,56 +750,60 @@
         return fired;
     }
 
-    private Table partFor(Table base, int wide) { // where the least is asked for what there is
-        return partsOf(base, wide).stream().filter(t -> t.warmIn > 0)
-                .min(Comparator.comparingDouble(t -> (t.load + 1e-6) / t.warmIn)).orElse(base);
+    /** Of the tables that share out the dealt parts that of which the least is asked for what there is. */
+    private Table partFor(Table base, int wide) {
+        int count = Math.max(1, parts / wide);
+        return IntStream.range(0, count).mapToObj(i -> part(base, i * parts / count, (i + 1) * parts / count))
+                .filter(t -> t.warmIn > 0)
+                .min(Comparator.comparingDouble(t -> (load(t.users) + 1e-6) / t.warmIn)).orElse(base);
     }
 
-    private List<Table> partsOf(Table base, int wide) { // those that take a turn each at the dealt parts
-        int count = Math.max(1, parts / wide);
-        return IntStream.range(0, count).mapToObj(i -> {
-            int from = i * parts / count, to = (i + 1) * parts / count;
-            return tables.stream().filter(t -> t.base == base.base && t.part == from && t.span == to - from)
-                    .findFirst().orElseGet(() -> {
-                        Table t = addTable(base.operations, base.homeZone, 0);
-                        t.base = base.base;
-                        t.part = from;
-                        t.span = to - from;
-                        t.members = hosts.stream().filter(h -> open(h, t)).collect(Collectors.toList());
-                        stale = true;
-                        reckon();
-                        layDue(t);
-                        return t;
-                    });
-        }).toList();
+    private Table part(Table base, int from, int to) {
+        return tables.stream().filter(t -> t.base == base.base && t.part == from && t.span == to - from)
+                .findFirst().orElseGet(() -> {
+                    Table t = addTable(base.operations, base.homeZone, 0);
+                    t.base = base.base;
+                    t.part = from;
+                    t.span = to - from;
+                    t.members = new ArrayList<>(hosts.stream().filter(h -> open(h, t)).toList());
+                    stale = true;
+                    reckon();
+                    layDue(t);
+                    return t;
+                });
+    }
+
+    private double dealt(int part) { // cold ones are spread evenly, and none goes where no warm one is
+        List<Host> in = hosts.stream().filter(h -> h.running && h.part == part).toList();
+        return in.stream().mapToDouble(h -> isWarm(h) ? h.weight : 100 * h.weight).sum()
+                + (in.stream().anyMatch(this::isWarm) ? 0 : 1e6);
     }
 
     /**
-     * Guards against tables that the channel can't carry. Where full ones for all its proxies do not fit into
-     * the queue, each gets as much of the fleet as fits twice; newcomers that would wait over a second for
-     * it, with old tables emptied by drains, first get a standing table's size. It could harm by uneven load.
+     * Guards against tables that the channel can't carry. Where full ones for all its proxies take over a
+     * third of the ramp of 10 s, by which tables change anyway, each gets what can be sent in that time;
+     * newcomers that would wait over a second for it, with old tables emptied by drains, first get a standing
+     * table's size. It could harm by uneven load.
      */
     private boolean dealParts() {
         reckon();
-        double each = mostWaiting / Math.max(1, joined.size()) - perMessage - 1 - operations.length;
+        double most = 3300 * pace / Math.max(1, joined.size()) - perMessage - 1 - operations.length;
         double lines = tables.subList(0, full).stream().mapToDouble(t -> t.length
                 / (t.homeZone < 0 ? 1.0 : operation(t).zoneCount())).sum(); // of one proxy
         List<Host> in = hosts.stream().filter(h -> h.running && !h.out && isWarm(h))
                 .sorted(Comparator.comparingInt((Host h) -> h.zone).thenComparingInt(h -> h.kind)).toList();
-        boolean wide = !sliced && lines > (span > 0 ? 0.8 : 1) * each;
-        rush = !sliced && waiting + joined.stream().filter(this::newcomer).count() * Math.min(lines, each / 2)
-                > 1000 * pace;
+        boolean wide = !sliced && lines > (span > 0 ? 1 : 1.25) * most;
+        rush = !sliced && waiting + joined.stream().filter(this::newcomer).count()
+                * Math.min(lines, Math.max(standing, most)) > 1000 * pace;
         if ((rush || wide) && parts == 0 && !in.isEmpty()) {
             parts = Math.max(1, in.size() / standing);
             IntStream.range(0, in.size()).forEach(i -> in.get(i).part = i % parts);
         }
-        double size = (each - perMessage - 1 - operations.length) / 2; // lines that fit twice
-        int fits = wide ? (int) Math.max(1, parts * Math.min(1, size / lines)) % Math.max(1, parts) : 0;
-        span = fits == 0 || span == 0 || fits > 2 * span || fits < span / 2 ? fits : span;
-        for (Host h : parts == 0 ? List.<Host>of() : hosts) { // who has come since goes where the least is
+        int fits = wide && parts > 1 ? (int) Math.max(1, parts * Math.min(1, most / lines)) % parts : 0;
+        span = fits == 0 || span == 0 || fits > 2 * span || 2 * fits < span ? fits : span;
+        for (Host h : parts == 0 ? List.<Host>of() : hosts) { // who has come since goes where few are cold
             if (h.running && h.part < 0) {
-                h.part = IntStream.range(0, parts).boxed().min(Comparator.comparingDouble(i -> hosts.stream()
-                        .filter(o -> o.running && o.part == i).mapToDouble(o -> o.weight).sum())).orElse(0);
+                h.part = IntStream.range(0, parts).boxed().min(Comparator.comparing(this::dealt)).orElse(0);
                 tables.stream().filter(t -> t.part >= 0 && open(h, t)).forEach(t -> t.members.add(h));
                 stale = true;
             }
@@ -831,16 +832,16 @@
                 && mayWrite(holders(h), 1, URGENT);
     }
 
-    /** How much may wait: the ordinary stands a second at most before the rest, however deep the queue is. */
-    private double upTo(double part) {
+    /** How much may wait: the ordinary stands two seconds before the rest, however deep the queue is. */
+    private double upTo(double part, int users) { // and room for a line to each of them
         return part > LINES ? part * mostWaiting : Math.min(LINES * mostWaiting,
-                Math.max(1000 * pace, 2 * joined.size() * (1 + perMessage)));
+                Math.max(2000 * pace, 2 * users * (1 + perMessage)));
     }
 
     private boolean mayWrite(Collection<Proxy> to, double lines, double part) {
         boolean slow = roundTrip > 0.5 * grace && waiting > 0.25 * mostWaiting; // a drain would come too late
         return (part == DRAINS || !drainsWait && !slow)
-                && waiting + to.stream().mapToDouble(p -> cost(p, lines)).sum() <= upTo(part)
+                && waiting + to.stream().mapToDouble(p -> cost(p, lines)).sum() <= upTo(part, to.size())
                 && to.stream().allMatch(p -> messagesMost == 0 || p.fresh > 0
                 || capUsed(p) + 1 <= Math.min(part + 0.2, Math.max(part, URGENT)) * messagesMost);
     }
@@ -858,21 +859,21 @@
 
     /** Guards against a sub-update that no queue holds: then it goes in pieces of half of what one may. */
     private long piece(Table t) {
-        return (long) Math.max(1, 0.5 * upTo(LINES) / Math.max(1, users(t).size()) - perMessage);
+        int to = Math.max(1, users(t).size());
+        return (long) Math.max(1, 0.5 * upTo(LINES, to) / to - perMessage);
     }
 
     private boolean allHaveRoom(Table t, double lines) {
-        Collection<Proxy> users = users(t);
-        return mayWrite(users, lines, LINES) && users.stream().allMatch(p -> hasRoom(p, lines, users.size()));
+        return mayWrite(users(t), lines, LINES)
+                && users(t).stream().allMatch(p -> hasRoom(p, lines, users(t).size()));
     }
 
     private void requestBarrier() { // one for all messages of this reply; each proxy concerned answers it
         List<Proxy> concerned = joined.stream().filter(p -> p.fresh > 0).toList();
-        mark = concerned.isEmpty() ? mark : (mark + 1) % 65536;
+        reckonChannel(); // without what was only reckoned with
         if (!concerned.isEmpty()) {
-            orders.barrier(mark, false);
+            orders.barrier(mark = (mark + 1) % 65536, false);
         }
-        reckonChannel(); // without what was only reckoned with
         for (Proxy p : concerned) {
             Message m = new Message();
             m.mark = mark;
