--- a/src/main/java/linenring/discovery/HostWatch.java
+++ b/src/main/java/linenring/discovery/HostWatch.java
@@ -197,6 +197,10 @@
         if (!holdsList || list.version() > version) {
             version = list.version();
             holdsList = true;
+            if (!list.spoilt().isEmpty()) {
+                log.warn("spoilt", "discovery lists " + list.spoilt().size() + " hosts that are left out, the first: "
+                        + list.spoilt().get(0));
+            }
             exchange.listed(list);
         } else if (list.version() < version) {
             log.warn("discovery", "tells version " + list.version() + ", which is older than " + version
--- a/src/main/java/linenring/message/Codec.java
+++ b/src/main/java/linenring/message/Codec.java
@@ -130,7 +130,16 @@
     }
 
     private int zone(String site) throws BadField {
-        return place("site", names.zones(), site);
+        return place("site", names.zones(), site); // who lies about it would take the place of a proxy
+    }
+
+    /** Its place, which a zone or kind that the list alone names gets now. */
+    private static int grown(String field, List<String> among, String name) throws BadField {
+        int at = Names.place(among, present(field, name));
+        if (at < 0) {
+            throw new BadField("field " + field + ": one name too many, '" + shown(name) + "'");
+        }
+        return at;
     }
 
     private static int place(String field, List<String> among, String name) throws BadField {
@@ -220,33 +229,36 @@
             Double version = null;
             Boolean whole = null;
             List<HostList.Entry> entries = null;
+            List<String> spoilt = new ArrayList<>();
             while (in.nextToken() != JsonToken.END_OBJECT) {
                 String name = in.currentName();
                 in.nextToken();
                 switch (name) {
                     case "version" -> version = figure(name, in);
                     case "full" -> whole = truth(name, in);
-                    case "servers" -> entries = entries(in);
+                    case "servers" -> entries = entries(in, spoilt);
                     default -> in.skipChildren();
                 }
             }
             return Decoded.of(new HostList((long) from0("version", version, Long.MAX_VALUE),
-                    present("full", whole), present("servers", entries)));
+                    present("full", whole), present("servers", entries), spoilt));
         } catch (BadField e) {
             return Decoded.fault(Reached.FIELDS, e.getMessage());
         }
     }
 
-    private List<HostList.Entry> entries(JsonParser in) throws IOException, BadField {
+    /** Those that can be used; of each other one it is said why not. */
+    private List<HostList.Entry> entries(JsonParser in, List<String> spoilt) throws IOException, BadField {
         if (in.currentToken() != JsonToken.START_ARRAY) {
             throw new BadField("field servers is not a list");
         }
         List<HostList.Entry> entries = new ArrayList<>();
         while (in.nextToken() != JsonToken.END_ARRAY) {
-            if (in.currentToken() != JsonToken.START_OBJECT) {
-                throw new BadField("field servers holds what is no object");
+            try {
+                entries.add(entry(in));
+            } catch (BadField e) {
+                spoilt.add(e.getMessage());
             }
-            entries.add(entry(in));
         }
         return entries;
     }
@@ -254,20 +266,33 @@
     private HostList.Entry entry(JsonParser in) throws IOException, BadField {
         String id = null, zone = null, kind = null, state = null, address = null;
         Double weight = null, started = null, cell = null;
+        if (in.currentToken() != JsonToken.START_OBJECT) {
+            in.skipChildren();
+            throw new BadField("field servers holds what is no object");
+        }
+        BadField first = null; // it is read to its end all the same: the next one may be well
         while (in.nextToken() != JsonToken.END_OBJECT) {
             String name = in.currentName();
             in.nextToken();
-            switch (name) {
-                case "id" -> id = word(name, in);
-                case "addr" -> address = in.currentToken() == JsonToken.VALUE_STRING ? in.getText() : null;
-                case "cell" -> cell = in.currentToken().isNumeric() ? Double.valueOf(in.getDoubleValue()) : null;
-                case "zone" -> zone = word(name, in);
-                case "kind" -> kind = word(name, in);
-                case "state" -> state = word(name, in);
-                case "weight" -> weight = figure(name, in);
-                case "started_ms" -> started = figure(name, in);
-                default -> in.skipChildren();
+            try {
+                switch (name) {
+                    case "id" -> id = word(name, in);
+                    case "addr" -> address = in.currentToken() == JsonToken.VALUE_STRING ? in.getText() : null;
+                    case "cell" -> cell = in.currentToken().isNumeric() ? Double.valueOf(in.getDoubleValue()) : null;
+                    case "zone" -> zone = word(name, in);
+                    case "kind" -> kind = word(name, in);
+                    case "state" -> state = word(name, in);
+                    case "weight" -> weight = figure(name, in);
+                    case "started_ms" -> started = figure(name, in);
+                    default -> { }
+                }
+            } catch (BadField e) {
+                first = first == null ? e : first;
             }
+            in.skipChildren();
+        }
+        if (first != null) {
+            throw first;
         }
         HostList.State is = switch (present("state", state)) {
             case "Ready" -> HostList.State.READY;
@@ -278,8 +303,8 @@
         boolean gone = is == HostList.State.GONE; // of these no more than the id need be told
         double at = started == null ? 0 : from0("started_ms", started, Long.MAX_VALUE);
         return new HostList.Entry(present("id", id),
-                gone && zone == null ? 0 : place("zone", names.zones(), zone),
-                gone && kind == null ? 0 : place("kind", names.kinds(), kind),
+                gone && zone == null ? 0 : grown("zone", names.zones(), zone),
+                gone && kind == null ? 0 : grown("kind", names.kinds(), kind),
                 is, weight == null ? 1 : from0("weight", weight, Float.MAX_VALUE), at == 0 ? Double.NEGATIVE_INFINITY : at,
                 address, cell == null || !(cell >= 0) ? -1 : cell.intValue()); // only a front needs these two
     }
--- a/src/main/java/linenring/message/HostList.java
+++ b/src/main/java/linenring/message/HostList.java
@@ -2,8 +2,12 @@
 
 import java.util.List;
 
-/** The list of hosts, or what has changed of it since an earlier version. */
-public record HostList(long version, boolean whole, List<Entry> entries) {
+/** The list of hosts, or what has changed of it since an earlier version; and what was wrong with entries left out. */
+public record HostList(long version, boolean whole, List<Entry> entries, List<String> spoilt) {
+    public HostList(long version, boolean whole, List<Entry> entries) {
+        this(version, whole, entries, List.of());
+    }
+
     /** What a host is listed as. */
     public enum State { READY, TERMINATING, GONE }
 
--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -87,11 +87,11 @@
     private final boolean goneNeedNotStop, sliced;
     private final List<Host> hosts = new ArrayList<>();
     private final List<Proxy> proxies = new ArrayList<>();
-    private List<Proxy> joined = List.of();
+    private final List<Proxy> joined = new ArrayList<>();
     private final List<Message> inChannel = new ArrayList<>(); // in the order in which they were sent
     private final List<Table> tables = new ArrayList<>();
-    private final List<Zone> zones = Stream.generate(Zone::new).limit(Long.SIZE).toList(); // a mask's
-    private final double[][] metBy = new double[Long.SIZE][3]; // sums of the warm hosts that are in, by kind
+    private final List<Zone> zones = new ArrayList<>();
+    private final List<double[]> metBy = new ArrayList<>(); // sums of the warm hosts that are in, by kind
     private final List<BooleanSupplier> rules;
     private double now, provenAt, fadedAt, roundTrip, alarmAt = -1, askAt, stormUntil = -1, metAt;
     private boolean wholeList, drainsWait, bindsWait, rush, stale = true; // stale: sums or hosts have changed
@@ -127,8 +127,7 @@
             addTablesFor(k);
         }
         full = tables.size();
-        rules = List.of(
-                this::senseCut,
+        rules = List.of(this::senseCut,
                 this::dealParts,
                 () -> bindProxies(true),
                 this::withdrawTold,
@@ -165,9 +164,8 @@
     /** Sums fade by half in 1.5 s: about as late as they come. */
     public void clock(double at) {
         now = at;
-        if (stormUntil < 0) {
-            stormUntil = (metAt = now) + 4000; // a fresh start knows nothing: by then the first sums come
-        }
+        metAt = stormUntil < 0 ? now : metAt; // a fresh start knows nothing: in 4 s the first sums come
+        stormUntil = stormUntil < 0 ? now + 4000 : stormUntil;
         if (now - fadedAt >= 100) { // no finer than the alarms
             double keep = Math.pow(0.5, (now - fadedAt) / 1500);
             fadedAt = now;
@@ -244,8 +242,7 @@
         p.zone = zone;
         p.usual = usual;
         p.bound = new Table[full];
-        joined = Stream.concat(joined.stream(), Stream.of(p))
-                .sorted(Comparator.comparingDouble(o -> -o.usual)).toList(); // asked most: bound first
+        joined.add((int) joined.stream().takeWhile(o -> o.usual >= usual).count(), p); // asked most: first
     }
 
     public void lost(int id) { // guards against answers that cannot come: its windows are free at once,
@@ -254,7 +251,7 @@
         p.unanswered.clear();
         IntStream.range(0, p.bound.length).forEach(b -> put(p, b, null));
         p.fresh = p.out = 0;
-        joined = joined.stream().filter(o -> o != p).toList();
+        joined.remove(p);
     }
 
     public void inForce(int id, int answered, double tookMs) {
@@ -285,9 +282,9 @@
 
     public void tally(int id, int zone, int total, int bad, double meanMs) {
         Host h = host(id);
-        Zone from = zones.get(zone);
-        boolean counts = zone == h.zone || now >= from.cutUntil; // beyond a cut they tell nothing of it
-        for (double[] met : List.of(zone == h.zone ? from.near : from.far, counts ? h.met : new double[3])) {
+        Zone from = zone(zone);
+        boolean near = zone == h.zone, counts = near || now >= from.cutUntil; // a cut: they tell nothing
+        for (double[] met : List.of(near ? from.near : from.far, counts ? h.met : new double[3])) {
             met[ENDED] += total;
             met[BAD] += bad;
             met[SPENT] += (total - bad) * meanMs;
@@ -313,9 +310,8 @@
     }
 
     private Host host(int id) {
-        while (hosts.size() <= id) {
+        for (; hosts.size() <= id; hosts.get(hosts.size() - 1).id = hosts.size() - 1) {
             hosts.add(new Host());
-            hosts.get(hosts.size() - 1).id = hosts.size() - 1;
         }
         return hosts.get(id);
     }
@@ -326,14 +322,19 @@
         stale = true;
         h.zone = zone;
         h.kind = kind;
+        Stream.generate(() -> new double[3]).limit(Math.max(0, kind + 1 - metBy.size())).forEach(metBy::add);
         h.weight = weight > 0 ? weight : 1;
         return h;
     }
 
+    private Zone zone(int id) {
+        Stream.generate(Zone::new).limit(Math.max(0, id + 1 - zones.size())).forEach(zones::add);
+        return zones.get(id);
+    }
+
     private Proxy proxy(int id) {
-        while (proxies.size() <= id) {
+        for (; proxies.size() <= id; proxies.get(proxies.size() - 1).id = proxies.size() - 1) {
             proxies.add(new Proxy());
-            proxies.get(proxies.size() - 1).id = proxies.size() - 1;
         }
         return proxies.get(id);
     }
@@ -387,9 +388,7 @@
     }
 
     private boolean open(Host h, Table t) {
-        Operation op = operation(t);
-        return (op.zones() >> h.zone & 1) != 0 && (op.kinds() >> h.kind & 1) != 0
-                && (t.homeZone < 0 || t.homeZone == h.zone)
+        return operation(t).isOpenTo(h.zone, h.kind) && (t.homeZone < 0 || t.homeZone == h.zone)
                 && (t.part < 0 || h.part >= t.part && h.part < t.part + t.span);
     }
 
@@ -418,13 +417,13 @@
             return;
         }
         ended = bad = 0;
-        Arrays.stream(metBy).forEach(met -> Arrays.fill(met, 0));
+        metBy.forEach(met -> Arrays.fill(met, 0));
         for (Host h : hosts) {
             if (h.running) {
                 ended += h.met[ENDED];
                 bad += h.met[BAD];
                 double part = h.out || !isWarm(h) ? 0 : 1;
-                Arrays.setAll(metBy[h.kind], i -> metBy[h.kind][i] + part * h.met[i]);
+                Arrays.setAll(metBy.get(h.kind), i -> metBy.get(h.kind)[i] + part * h.met[i]);
             }
         }
         for (Table t : tables) {
@@ -528,7 +527,7 @@
     }
 
     private Table reach(Proxy p, Table base) { // the full table, or that of the proxy's own zone
-        return now >= zones.get(p.zone).cutUntil ? base : tables.stream().filter(t -> t.base == base.base
+        return now >= zone(p.zone).cutUntil ? base : tables.stream().filter(t -> t.base == base.base
                 && t.homeZone == p.zone && t.part < 0 && t.warmIn > 0 && t.length > 0).findAny().orElse(base);
     }
 
@@ -563,9 +562,9 @@
     }
 
     private boolean isOfSlowKind(Host h) { // where sums are thin, hosts of a kind tell of each other
-        double late = lateness(metBy[h.kind]);
-        return late > 0.5 && metBy[h.kind][ENDED] >= 50 && steady(h, 0) && h.share == 1
-                && now > h.restUntil && Arrays.stream(metBy)
+        double late = lateness(metBy.get(h.kind));
+        return late > 0.5 && metBy.get(h.kind)[ENDED] >= 50 && steady(h, 0) && h.share == 1
+                && now > h.restUntil && metBy.stream()
                 .anyMatch(m -> m[ENDED] >= 50 && lateness(m) < Math.min(0.35, late / 2));
     }
 
@@ -732,9 +731,10 @@
         boolean fired = bindsWait = false;
         for (Table t : tables.stream().allMatch(t -> t.length > 0 || t.weightIn == 0) // first the lines
                 ? List.copyOf(tables.subList(0, full)) : List.<Table>of()) {
-            for (Proxy p : unbound(t).filter(p -> !fresh || p.bound[t.base] == null).toList()) {
-                Table to = reach(p, t) != t ? reach(p, t) : fresh && rush ? partFor(t, 1)
-                        : span > 0 ? partFor(t, span) : t;
+            List<Proxy> due = unbound(t).filter(p -> !fresh || p.bound[t.base] == null).toList();
+            List<Table> some = due.isEmpty() ? List.of() : partsOf(t, fresh && rush ? 1 : span);
+            for (Proxy p : due) {
+                Table to = reach(p, t) != t ? reach(p, t) : leastAsked(some, t);
                 double lines = 1 + to.length + operations.length + orders.bindBrings(to.number, p.id)
                         + to.members.stream().filter(h -> h.out && laid(h, to) > 0).count(); // withdrawn: too
                 if (mustMove(p, t) && mayWrite(List.of(p), lines, fresh ? DRAINS : LINES)) {
@@ -750,11 +750,17 @@
         return fired;
     }
 
-    /** Of the tables that share out the dealt parts that of which the least is asked for what there is. */
-    private Table partFor(Table base, int wide) {
-        int count = Math.max(1, parts / wide);
-        return IntStream.range(0, count).mapToObj(i -> part(base, i * parts / count, (i + 1) * parts / count))
-                .filter(t -> t.warmIn > 0)
+    private List<Table> partsOf(Table base, int wide) { // the tables that share out the dealt parts
+        int count = wide == 0 ? 0 : Math.max(1, parts / wide);
+        List<Table> all = IntStream.range(0, count)
+                .mapToObj(i -> part(base, i * parts / count, (i + 1) * parts / count)).toList();
+        reckon();
+        all.stream().filter(t -> t.length == 0).forEach(this::layDue);
+        return all;
+    }
+
+    private Table leastAsked(List<Table> of, Table base) { // for what there is
+        return of.stream().filter(t -> t.warmIn > 0)
                 .min(Comparator.comparingDouble(t -> (load(t.users) + 1e-6) / t.warmIn)).orElse(base);
     }
 
@@ -767,8 +773,6 @@
                     t.span = to - from;
                     t.members = new ArrayList<>(hosts.stream().filter(h -> open(h, t)).toList());
                     stale = true;
-                    reckon();
-                    layDue(t);
                     return t;
                 });
     }
@@ -790,7 +794,7 @@
         double most = 3300 * pace / Math.max(1, joined.size()) - perMessage - 1 - operations.length;
         double lines = tables.subList(0, full).stream().mapToDouble(t -> t.length
                 / (t.homeZone < 0 ? 1.0 : operation(t).zoneCount())).sum(); // of one proxy
-        List<Host> in = hosts.stream().filter(h -> h.running && !h.out && isWarm(h))
+        List<Host> in = parts > 0 ? List.of() : hosts.stream().filter(h -> h.running && !h.out && isWarm(h))
                 .sorted(Comparator.comparingInt((Host h) -> h.zone).thenComparingInt(h -> h.kind)).toList();
         boolean wide = !sliced && lines > (span > 0 ? 1 : 1.25) * most;
         rush = !sliced && waiting + joined.stream().filter(this::newcomer).count()
@@ -828,8 +832,7 @@
     }
 
     private boolean mayTrouble(Host h) {
-        return tablesWith(h).stream().allMatch(t -> gapOver(t, 0))
-                && mayWrite(holders(h), 1, URGENT);
+        return tablesWith(h).stream().allMatch(t -> gapOver(t, 0)) && mayWrite(holders(h), 1, URGENT);
     }
 
     /** How much may wait: the ordinary stands two seconds before the rest, however deep the queue is. */
--- a/src/main/java/linenring/plan/StartFigures.java
+++ b/src/main/java/linenring/plan/StartFigures.java
@@ -13,6 +13,12 @@
         boolean openTo(Operation other) {
             return zones == other.zones && kinds == other.kinds && homeZoneOnly == other.homeZoneOnly;
         }
+
+        /** Whether hosts of this zone and kind may run it; -1 is all, and other masks know the first 64 of them. */
+        boolean isOpenTo(int zone, int kind) {
+            return (zones == -1 || zone < Long.SIZE && (zones >> zone & 1) != 0)
+                    && (kinds == -1 || kind < Long.SIZE && (kinds >> kind & 1) != 0);
+        }
     }
 
     /** A host that has just started: its share of capacity at least, and when it is warm. */
--- a/src/main/java/linenring/steward/Steward.java
+++ b/src/main/java/linenring/steward/Steward.java
@@ -113,7 +113,7 @@
     @Override
     public void listed(HostList list) {
         decide(() -> {
-            balance.listOpens(list.whole());
+            balance.listOpens(list.whole() && list.spoilt().isEmpty()); // whom it could not name has not gone
             for (HostList.Entry e : list.entries()) {
                 int host = books.listed(e.host());
                 switch (e.state()) {
--- a/src/main/java/linenring/streams/PeerConnection.java
+++ b/src/main/java/linenring/streams/PeerConnection.java
@@ -274,7 +274,7 @@
             if (ending) {
                 return;
             }
-            full = unsentBytes + bytes.length > UNSENT_MOST;
+            full = unsentBytes > UNSENT_MOST; // one message may be larger: it holds as many lines as there are hosts
             if (!full) {
                 unsent.add(ByteBuffer.wrap(bytes));
                 unsentBytes += bytes.length;
--- a/src/main/java/linenring/streams/StreamServer.java
+++ b/src/main/java/linenring/streams/StreamServer.java
@@ -30,7 +30,6 @@
         public enum Reached { STARTED, BOUND, LISTENING }
     }
 
-    private static final int BACKLOG = 512;
     private static final int OWN_SOCKETS = 32; // what the process opens besides: files, selectors, discovery, some 20
     private static final long STRANGER_NS = TimeUnit.SECONDS.toNanos(1); // who dials says at once who it is
     /** Who is so new may have said so, and it is not read yet: others make room first. */
@@ -73,7 +72,7 @@
             ServerSocketChannel channel = ServerSocketChannel.open();
             server.channel = channel;
             channel.setOption(StandardSocketOptions.SO_REUSEADDR, true); // at once after a restart
-            channel.bind(at, BACKLOG);
+            channel.bind(at, sockets); // all may come at once after another steward's end
             reached = Opened.Reached.BOUND;
             channel.configureBlocking(false);
             server.acceptor(channel);
--- a/src/test/java/linenring/plan/BalanceTest.java
+++ b/src/test/java/linenring/plan/BalanceTest.java
@@ -547,4 +547,17 @@
         f.settle();
         assertEquals(3, f.bound.size()); // 1,236 of 1500 lines: a fourth would be over
     }
+
+    @Test
+    void aHundredZonesAndKindsAreServed() {
+        FakeHost f = new FakeHost(figures(0)).fleet(6, 2);
+        f.balance.listOpens(false);
+        f.balance.running(6, 100, 90, 1, Double.NEGATIVE_INFINITY);
+        f.balance.listCloses();
+        f.balance.joined(2, 99, 1);
+        f.joined.add(2);
+        f.balance.tally(6, 100, 5, 0, 100);
+        f.settle().pass(20_000);
+        assertTrue(f.weight(2, 6) > 0);
+    }
 }
