--- /dev/null
+++ b/src/test/java/linenring/steward/ChannelAccountTest.java
@@ -0,0 +1,138 @@
+package linenring.steward;
+
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.io.OutputStream;
+import java.io.PrintStream;
+import java.util.ArrayDeque;
+import java.util.ArrayList;
+import java.util.List;
+import java.util.Random;
+import java.util.stream.IntStream;
+import linenring.exchange.Stream;
+import linenring.log.Log;
+import linenring.message.Order;
+import linenring.plan.Balance;
+import linenring.plan.StartFigures;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
+
+/**
+ * The decisions and the real books against a channel that is reckoned by itself: one message after the other at its own
+ * pace, what is lost with a stream makes way for what comes later, and answers come late or never.
+ */
+class ChannelAccountTest {
+    private static final int HEAD = 5, CAP = 30; // a head of four lines and the mark
+    private static final double PACE = 1.2, TRANSIT = 150;
+
+    /** A message in the channel. */
+    private record Sent(Line to, double lines, double leaves, int mark, double at) { }
+
+    /** One proxy's stream. */
+    private final class Line implements Stream {
+        final int proxy;
+        boolean open = true, mute;
+
+        Line(int proxy) {
+            this.proxy = proxy;
+        }
+
+        @Override
+        public void write(Order order) {
+            double lines = HEAD + order.lineCount();
+            freeAt = Math.max(now, freeAt) + lines / (PACE / slower);
+            channel.add(new Sent(this, lines, freeAt, order.parts().get(order.parts().size() - 1).mark(), now));
+            written.get(proxy).removeIf(at -> at <= now - 10_000);
+            written.get(proxy).add(now);
+            mostWritten = Math.max(mostWritten, written.get(proxy).size());
+            mostWaiting = Math.max(mostWaiting, channel.stream().mapToDouble(Sent::lines).sum());
+        }
+
+        @Override
+        public void close(String why) {
+            ends(this);
+        }
+    }
+
+    private final List<Sent> channel = new ArrayList<>(), travelling = new ArrayList<>();
+    private final List<ArrayDeque<Double>> written = new ArrayList<>();
+    private final List<Line> lines = new ArrayList<>();
+    private double now = 1_000_000, freeAt, slower = 1, mostWaiting;
+    private int mostWritten, answered;
+
+    private void ends(Line line) {
+        line.open = false;
+        freeAt -= channel.stream().filter(s -> s.to() == line).mapToDouble(Sent::lines).sum() / (PACE / slower);
+        channel.removeIf(s -> s.to() == line);
+    }
+
+    @ParameterizedTest(name = "seed {0}, {1} proxies, {2} hosts")
+    @CsvSource({"1, 60, 30", "2, 300, 100", "3, 300, 100", "4, 300, 100", "5, 120, 200", "6, 1024, 60"})
+    void noOrderOfJoinsBreaksSilencesDrainsAndSlownessFillsTheQueueOrTheCap(int seed, int proxies, int hosts) {
+        double limit = 22.0 * proxies + 200;
+        StartFigures figures = new StartFigures(List.of(new StartFigures.Operation(1000, 1, -1, -1, false, 3),
+                new StartFigures.Operation(1000, 2, -1, -1, false, 3)), new StartFigures.ColdStart(0.2, 18_000),
+                new StartFigures.Channel(1000 * PACE, 4, limit, CAP, 10_000, TRANSIT, 3 * TRANSIT, 16_000),
+                new StartFigures.Slices(0, false, 0, 0), StartFigures.Measure.SHARE, false, 0, false, 6);
+        Books books = new Books(List.of("quote", "book"), proxies, new Log(new PrintStream(OutputStream.nullOutputStream())));
+        Balance balance = new Balance(figures, books);
+        Random chance = new Random(seed);
+        IntStream.range(0, proxies).forEach(p -> {
+            lines.add(null);
+            written.add(new ArrayDeque<>());
+        });
+        balance.clock(now);
+        balance.listOpens(true);
+        IntStream.range(0, hosts).forEach(h -> balance.running(books.listed("s-" + h), h % 3, 0, 1, Double.NEGATIVE_INFINITY));
+        balance.listCloses();
+        int next = hosts;
+        for (int round = 0; round < 900; round++) { // 45 s
+            now += 50;
+            balance.clock(now);
+            deliver(books, balance);
+            slower = round % 300 < 200 ? 1 : 3; // the channel is slowed at times, and nobody tells
+            double joins = round < 10 || round % 250 < 10 ? 0.3 : 0.01, ends = round % 200 == 150 ? 0.7 : 0.003;
+            for (int p = 0; p < proxies; p++) {
+                Line line = lines.get(p);
+                boolean is = line != null && line.open;
+                if (is && chance.nextDouble() < ends) {
+                    ends(line);
+                    books.left(p);
+                    balance.lost(p);
+                } else if (chance.nextDouble() < (is ? 0.0005 : joins)) { // some before their old end is seen
+                    lines.set(p, new Line(p));
+                    books.joined(p, lines.get(p), chance.nextInt(3) == 0);
+                    balance.joined(p, p % 3, 1 + p % 5);
+                } else if (is && chance.nextDouble() < 0.001) {
+                    line.mute = !line.mute;
+                }
+            }
+            if (round % 40 == 20) { // a tenth drains and as many come
+                balance.listOpens(false);
+                for (int h = 0; h < hosts / 10; h++) {
+                    balance.stopping(next - hosts + h, (next - hosts + h) % 3, 0, 1);
+                    balance.running(books.listed("s-" + (next + h)), (next + h) % 3, 0, 1, now);
+                }
+                next += hosts / 10;
+                balance.listCloses();
+            }
+            balance.settle();
+            books.send();
+        }
+        assertTrue(mostWaiting <= limit, mostWaiting + " lines waited of " + limit);
+        assertTrue(mostWritten <= CAP, mostWritten + " messages to one proxy of " + CAP);
+        assertTrue(answered > proxies && mostWaiting > 0.1 * limit, "something went on: " + answered + ", " + mostWaiting);
+    }
+
+    private void deliver(Books books, Balance balance) {
+        channel.removeIf(s -> s.leaves() <= now && travelling.add(s));
+        List<Sent> there = travelling.stream().filter(s -> s.leaves() + TRANSIT <= now).toList();
+        travelling.removeAll(there);
+        for (Sent s : there) {
+            if (s.to().open && !s.to().mute && books.isCurrent(s.to().proxy, s.to())) {
+                balance.inForce(s.to().proxy, s.mark(), now - s.at());
+                answered++;
+            }
+        }
+    }
+}
