Balance: a sensed cut walks a copy of the tables that it adds to

Where all operations share one table the walk ends before it shows. Change: the copy is back; the story with two tables fails without it.

--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -517,7 +517,7 @@
                 z.cutUntil = now + 10_000; // then the far hosts are tried anew
                 Arrays.fill(z.far, 0);
             }
-            for (Table t : now < z.cutUntil ? tables.subList(0, full) : List.<Table>of()) {
+            for (Table t : now < z.cutUntil ? List.copyOf(tables.subList(0, full)) : List.<Table>of()) {
                 if (tables.stream().noneMatch(o -> o.base == t.base && o.homeZone == zones.indexOf(z))) {
                     addTable(t.operations, zones.indexOf(z), 0).base = t.base;
                 }
--- a/src/test/java/linenring/plan/BalanceTest.java
+++ b/src/test/java/linenring/plan/BalanceTest.java
@@ -243,6 +243,20 @@
         assertEquals(Set.of(full), f.tables.keySet());
     }
 
+    @Test
+    void aCutIsSensedWhereOperationsHaveTablesOfTheirOwn() {
+        FakeHost f = new FakeHost(figures(0, operation(1, ALL), operation(1, 1))).fleet(6, 2);
+        f.balance.traffic(0, 0, 1000, 2);
+        for (int s = 0; s < 2; s++) {
+            for (int h = 0; h < 6; h++) {
+                f.balance.tally(h, 1, 10, h % 2 == 0 ? 10 : 0, 100);
+            }
+            f.second(6, 0, 10, 100, 0, NONE);
+        }
+        f.pass(2000);
+        assertTrue(f.tables.values().stream().anyMatch(t -> t.keySet().equals(Set.of(1, 3, 5)))); // zone 1's own
+    }
+
     @Test
     void manySuspectsAtOnceDoNotEmptyTheTable() {
         FakeHost f = new FakeHost(figures(0)).fleet(6, 2);
