--- a/src/test/java/linenring/plan/SettleMeasurement.java
+++ b/src/test/java/linenring/plan/SettleMeasurement.java
@@ -2,7 +2,7 @@
 
 import java.util.Locale;
 
-/** How long one input takes at size, in milliseconds; run by hand: main(hosts proxies zones ...). */
+/** How long one input takes at size, in milliseconds; run by hand. */
 final class SettleMeasurement {
     private SettleMeasurement() {
     }
@@ -30,12 +30,13 @@
         }
         b.listCloses();
         host.settle();
-        double join = took(() -> {
+        Runnable all = () -> {
             for (int p = 0; p < proxies; p++) {
                 b.joined(p, p % zones, 1 + p % 7);
             }
             b.settle();
-        });
+        };
+        double join = took(all);
         host.joined.addAll(java.util.stream.IntStream.range(0, proxies).boxed().toList());
         host.pass(20_000);
         int mark = host.barriers;
@@ -58,12 +59,7 @@
             b.listCloses();
             b.settle();
         });
-        double again = took(() -> {
-            for (int p = 0; p < proxies; p++) {
-                b.joined(p, p % zones, 1 + p % 7);
-            }
-            b.settle();
-        });
+        double again = took(all);
         return String.format(Locale.ROOT, "| %d x %d | %d | %.1f | %.2f | %.1f | %.1f | %.1f |", hosts, proxies, zones, join, answer, sums, drain,
                 again);
     }
