Balance: sums fade, and levels wait after a cut, by the span that sums come to cover

Seen (join+vast, one steward, once a second; levels "let"): let 0.80 at 16.9 s, 0.41 at 20.9, 0.16 at 25.9, 0.13 at 30.9, 0.10 at 34.9, while the tries that were let in were well answered: 88% rate-limited, p50 181 ms, 98% of the rest in time after 30 s. A spot print of what sums cover: "lag 3225", up to 4,060 ms. A steward has 140 proxies x 3 operations and 120 hosts x 3 zones of report lines, 780, and is given 150 a second: each is heard every three to five seconds, and covers as much.

Cause: Balance.setLevels forgot sums 3 s after a cut and judged 1.5 s later, and Balance.clock faded them by half in 1.5 s, both fitted to sums that are a second long. At this size half of what was judged 4.5 s after a cut had been let in before it, so each cut brought the next; and with 1.5 s of memory 12 to 50 of 120 hosts had three tries, whose means scatter: "most 0.33" to "0.57" within a second on a fleet at rest. All five stewards do so in step. Ruled out: the fleet's real lateness (p50 above), the channel (levels in force 2 s after the order).

Change: tally is told the span; its mean over the last 20 sums is the half life where it is over 1.5 s, and is waited for after a cut. Small fleets keep what they had. It also holds against any narrow or late intake; it may hurt where load truly doubles within the wait.

--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -99,7 +99,7 @@
     private int mark, lastNumber, full; // full: number of full tables, which come before all others
     private int parts, span;            // parts that hosts are dealt to; of a table, or 0 for full tables
     private double letIn = 1, levelAt, forgetAt = Double.POSITIVE_INFINITY;
-    private double objective = 1000, quickest = 0.2; // until the first sums
+    private double objective = 1000, quickest = 0.2, lag; // until the first sums
     private final double[] opLevel = IntStream.range(0, Integer.SIZE).mapToDouble(k -> 1).toArray();
 
     public Balance(StartFigures start, Orders orders) {
@@ -161,13 +161,13 @@
 
     // ---- what is seen
 
-    /** Sums fade by half in 1.5 s: about as late as they come. */
+    /** Sums fade by half in 1.5 s, or in the span that they come to cover: about as late as they come. */
     public void clock(double at) {
         now = at;
         metAt = stormUntil < 0 ? now : metAt; // a fresh start knows nothing: in 4 s the first sums come
         stormUntil = stormUntil < 0 ? now + 4000 : stormUntil;
         if (now - fadedAt >= 100) { // no finer than the alarms
-            double keep = Math.pow(0.5, (now - fadedAt) / 1500);
+            double keep = Math.pow(0.5, (now - fadedAt) / Math.max(1500, lag));
             fadedAt = now;
             reckonChannel();
             hosts.forEach(h -> fade(h, keep));
@@ -280,14 +280,14 @@
         waiting = inChannel.stream().mapToDouble(m -> m.lines).sum();
     }
 
-    public void tally(int id, int zone, int total, int bad, double meanMs) {
+    public void tally(int id, int zone, int total, int bad, double meanMs, double span) {
         Host h = host(id);
+        lag += 0.05 * (span - lag); // over about the last 20 sums
         Zone from = zone(zone);
         boolean near = zone == h.zone, counts = near || now >= from.cutUntil; // a cut: they tell nothing
+        double[] sum = {total, bad, (total - bad) * meanMs}; // ENDED, BAD, SPENT
         for (double[] met : List.of(near ? from.near : from.far, counts ? h.met : new double[3])) {
-            met[ENDED] += total;
-            met[BAD] += bad;
-            met[SPENT] += (total - bad) * meanMs;
+            Arrays.setAll(met, i -> met[i] + sum[i]);
         }
         stale = true;
     }
@@ -920,8 +920,8 @@
         reckon();
         double good = ended - bad, late = mostLate;
         quickest = ended < 20 || usualLate == 0 ? quickest : Math.min(quickest, usualLate); // unhurried
-        boolean storm = good < ended - 0.3 * Math.max(20, ended) || late > Math.max(0.45, 4 * quickest);
-        stormUntil = storm ? now + 3000 : stormUntil; // a fifth of the hosts dead makes less of one
+        stormUntil = good < ended - 0.3 * Math.max(20, ended) || late > Math.max(0.45, 4 * quickest)
+                ? now + 3000 : stormUntil; // a fifth of the hosts dead makes less of one
         if (now >= forgetAt) {
             forgetAt = Double.POSITIVE_INFINITY;
             hosts.forEach(h -> fade(h, 0)); // what ended till now was let in before the cut
@@ -936,8 +936,8 @@
         } else if (late < 0.4 && letIn < 1) {
             letIn = Math.min(1, letIn * (1 + (0.45 - late) * 0.4));
         }
-        forgetAt = letIn < before ? now + 3000 : forgetAt;
-        levelAt = now + (letIn < before ? 4500 : 1500); // what is in the queues ends, the sums come and fade
+        forgetAt = letIn < before ? now + 2000 + Math.max(1000, lag) : forgetAt; // queues end, sums come
+        levelAt = (letIn < before ? forgetAt : now) + 1500; // and fade
         spreadLevels((1 - letIn) * work);
         return letIn != before;
     }
--- a/src/main/java/linenring/steward/Steward.java
+++ b/src/main/java/linenring/steward/Steward.java
@@ -93,7 +93,7 @@
         } else if (what instanceof Arrival.HostSums s) {
             int host = books.host(s.host());
             if (host >= 0) {
-                decide(() -> balance.tally(host, s.zone(), s.total(), s.bad(), s.meanMs()));
+                decide(() -> balance.tally(host, s.zone(), s.total(), s.bad(), s.meanMs(), s.spanMs()));
             }
         } else if (what instanceof Arrival.Usage u) {
             decide(() -> balance.traffic(u.proxy(), u.operation(), u.spanMs(), u.total()));
--- a/src/main/java/linenring/wirehost/WireHost.java
+++ b/src/main/java/linenring/wirehost/WireHost.java
@@ -157,7 +157,8 @@
             case "in_force" ->
                 balance.inForce(line.index("Sidecar"), line.index("Rev"), line.millis("Rtt", 0));
             case "tally" -> balance.tally(steward.host(line.text("Host")), line.index("Dc", 0),
-                    line.index("Total"), line.index("Bad", 0), line.millis("Rtt", 0));
+                    line.index("Total"), line.index("Bad", 0), line.millis("Rtt", 0),
+                    line.millis("Elapsed", 0));
             case "traffic" -> balance.traffic(line.index("Sidecar"), line.index("Qos"),
                     line.millis("Elapsed", 0), line.index("Total"));
             case "mandate" -> balance.charge(line.index("Sheet"), line.flag("Flag"));
--- a/src/test/java/linenring/plan/BalanceTest.java
+++ b/src/test/java/linenring/plan/BalanceTest.java
@@ -156,10 +156,10 @@
         FakeHost f = new FakeHost(figures(0)).fleet(6, 2);
         f.balance.traffic(0, 0, 1000, 50);
         for (int s = 0; s < 3; s++) {
-            f.balance.tally(2, 0, 10, 1, 900);
+            f.balance.tally(2, 0, 10, 1, 900, 1000);
             f.second(2, 0, 10, 200, 0, NONE);
-            f.balance.tally(3, 0, 10, 0, 200);
-            f.balance.tally(4, 0, 10, 0, 200);
+            f.balance.tally(3, 0, 10, 0, 200, 1000);
+            f.balance.tally(4, 0, 10, 0, 200, 1000);
         }
         assertEquals(0.5, f.weight(0, 2));
         f.pass(8000);
@@ -225,7 +225,7 @@
         int before = f.barriers;
         for (int h = 0; h < 12; h++) { // another one fails every half second
             for (int all = 0; all < 30; all++) {
-                f.balance.tally(all, 0, 10, all <= h ? 10 : 0, 100);
+                f.balance.tally(all, 0, 10, all <= h ? 10 : 0, 100, 1000);
             }
             f.pass(500);
         }
@@ -254,7 +254,7 @@
         f.balance.traffic(0, 0, 1000, 2);
         for (int s = 0; s < 2; s++) {
             for (int h = 0; h < 6; h++) {
-                f.balance.tally(h, 1, 10, h % 2 == 0 ? 10 : 0, 100); // zone 1 finds the hosts of zone 0 dead
+                f.balance.tally(h, 1, 10, h % 2 == 0 ? 10 : 0, 100, 1000); // zone 1 finds the hosts of zone 0 dead
             }
             f.second(6, 0, 10, 100, 0, NONE);
         }
@@ -272,7 +272,7 @@
         f.balance.traffic(0, 0, 1000, 2);
         for (int s = 0; s < 2; s++) {
             for (int h = 0; h < 6; h++) {
-                f.balance.tally(h, 1, 10, h % 2 == 0 ? 10 : 0, 100);
+                f.balance.tally(h, 1, 10, h % 2 == 0 ? 10 : 0, 100, 1000);
             }
             f.second(6, 0, 10, 100, 0, NONE);
         }
@@ -315,6 +315,26 @@
         assertEquals(1, f.levels.get(1));
     }
 
+    @Test
+    void sumsThatBeganBeforeACutDoNotCutASecondTimeHoweverLongTheyAre() {
+        FakeHost f = new FakeHost(figures(0)).fleet(6, 2);
+        f.span = 5000; // the intake is narrow: each sum has waited while it grew
+        for (int s = 0; s < 20; s++) {
+            f.balance.traffic(0, 0, 1000, 100);
+            f.second(6, 0, 20, 200, 0, NONE);
+        }
+        double once = 1;
+        for (int s = 0; s < 12 && once == 1; s++) {
+            f.second(6, 0, 20, 900, 0, NONE);
+            once = f.levels.getOrDefault(1, 1.0);
+        }
+        assertTrue(once < 1);
+        for (int s = 0; s < 6; s++) {
+            f.second(6, 0, 20, 900, 0, NONE); // they still tell of what was let in before
+            assertEquals(once, f.levels.get(1));
+        }
+    }
+
     @Test
     void nothingIsTriedAgainInAStormUnderLoweredLevels() {
         FakeHost f = new FakeHost(figures(0)).fleet(6, 2);
@@ -548,7 +568,7 @@
         f.balance.listCloses();
         f.balance.traffic(0, 0, 1000, 50);
         for (int h = 0; h < 40; h++) {
-            f.balance.tally(h, 0, 4, 0, h < 20 ? 200 : 900);
+            f.balance.tally(h, 0, 4, 0, h < 20 ? 200 : 900, 1000);
         }
         f.pass(2000);
         assertEquals(0.5, f.weight(0, 30));
@@ -593,7 +613,7 @@
         f.balance.listCloses();
         f.balance.joined(2, 99, 1);
         f.joined.add(2);
-        f.balance.tally(6, 100, 5, 0, 100);
+        f.balance.tally(6, 100, 5, 0, 100, 1000);
         f.settle().pass(20_000);
         assertTrue(f.weight(2, 6) > 0);
     }
--- a/src/test/java/linenring/plan/FakeHost.java
+++ b/src/test/java/linenring/plan/FakeHost.java
@@ -20,7 +20,7 @@
     final Set<Integer> joined = new TreeSet<>();
     final List<String> said = new ArrayList<>();
     final Balance balance;
-    double now = 100_000, answerMs = 200, usual = 1;
+    double now = 100_000, answerMs = 200, usual = 1, span = 1000;
     int barriers, bindsBring, wayAdds;
     private final List<Integer> pending = new ArrayList<>(); // marks not answered yet
 
@@ -104,7 +104,7 @@
     /** Reports of one second in which the hosts met these tries, with so many bad ones at some of them. */
     FakeHost second(int hosts, int proxyZone, int total, double ms, int bad, Set<Integer> badHosts) {
         for (int h = 0; h < hosts; h++) {
-            balance.tally(h, proxyZone, total, badHosts.contains(h) ? bad : 0, ms);
+            balance.tally(h, proxyZone, total, badHosts.contains(h) ? bad : 0, ms, span);
         }
         return pass(1000);
     }
--- a/src/test/java/linenring/plan/SettleMeasurement.java
+++ b/src/test/java/linenring/plan/SettleMeasurement.java
@@ -46,7 +46,7 @@
             sums += took(() -> {
                 b.clock(host.now += 500);
                 for (int h = 0; h < hosts; h++) {
-                    b.tally(h, h % zones, 20, h % 50 == 0 ? 3 : 0, 200);
+                    b.tally(h, h % zones, 20, h % 50 == 0 ? 3 : 0, 200, 1000);
                 }
                 b.settle();
             }) / 10;
