Balance: newcomers replace hosts in the parts that lost them; moves go by what hosts can do

Cause: Balance.dealt counted a cold host a hundred times, so newcomers were spread evenly over the parts, those that had lost two thirds and those that had lost nothing; isWeak and leastAsked counted warm hosts alone, so a part full of new ones looked empty and proxies moved to the others, 17 to 60 lines each through a channel that is full of the ramp; and wanted() took the fleet's mean ability off each cold host once more ("warmth"), though its weight says already what it can do.

A cold host's weight stays under what it can surely do. It also holds for a zone's return. It may hurt where the stated cold share is not kept.

--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -602,10 +602,9 @@
             return h.weight * h.share;
         }
         reckon();
-        double warmth = t.weightIn > 0 ? t.ableIn / t.weightIn : 1; // all shares rise as the cold ones' fall
         double well = 1 - bad / Math.max(20, ended);
         double sure = able(h) * (0.75 + 0.25 * Math.min(1, age / warmAfter));
-        return h.weight * h.share * Math.min(0.5 + age / 20_000, sure) * warmth * Math.max(0.01, well);
+        return h.weight * h.share * Math.min(0.5 + age / 20_000, sure) * Math.max(0.01, well);
     }
 
     /** Guards against a cold host sent all by proxies that shun others: it waits while warm ones are in. */
@@ -687,7 +686,7 @@
     }
 
     private boolean isWeak(Table t) { // a part that hosts have left, or more asked than others
-        return load(t.users) * tables.get(t.base).warmIn > 1.5 * tables.get(t.base).load * t.warmIn;
+        return load(t.users) * tables.get(t.base).ableIn > 1.5 * tables.get(t.base).load * t.ableIn;
     }
 
     private double load(Collection<Proxy> of) {
@@ -761,7 +760,7 @@
 
     private Table leastAsked(List<Table> of, Table base) { // for what there is
         return of.stream().filter(t -> t.warmIn > 0)
-                .min(Comparator.comparingDouble(t -> (load(t.users) + 1e-6) / t.warmIn)).orElse(base);
+                .min(Comparator.comparingDouble(t -> (load(t.users) + 1e-6) / t.ableIn)).orElse(base);
     }
 
     private Table part(Table base, int from, int to) {
@@ -779,7 +778,7 @@
 
     private double dealt(int part) { // cold ones are spread evenly, and none goes where no warm one is
         List<Host> in = hosts.stream().filter(h -> h.running && h.part == part).toList();
-        return in.stream().mapToDouble(h -> isWarm(h) ? h.weight : 100 * h.weight).sum()
+        return in.stream().mapToDouble(h -> h.weight * able(h)).sum()
                 + (in.stream().anyMatch(this::isWarm) ? 0 : 1e6);
     }
 
