Balance: slow hosts are told from thin sums and halved twice; levels cut less and rise faster

Cause: Balance.isSlow's eight tries and its one halving; in setLevels the cut to 0.4 at once, which stands for the span of the sums and 3.5 s before it can be judged, with clients that come again (1.6 tries each), and the rise of 0.4 x (0.45 - lateness).

Change: four tries prove a host slow if their lateness is as much as eight would need; one that stays so is halved once more, to a quarter. A cut takes two fifths at most, since a wrong one now stands longer than with sums a second long; a rise is 0.45 less the lateness whole. It may hurt where a jam passes over some hosts only; they keep their half for 48 s.

--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -557,8 +557,8 @@
 
     /** Guards against a host too weak for its share. It could harm where a passing jam looks like that. */
     private boolean isSlow(Host h) {
-        return steady(h, 8) && now > h.restUntil && h.share > 0.6 && usualLate < 0.5
-                && lateness(h.met) > Math.max(0.55, 1.6 * usualLate);
+        return steady(h, 4) && now > h.restUntil && h.share > 0.3 && usualLate < 0.5
+                && lateness(h.met) * Math.min(1, h.met[ENDED] / 8) > Math.max(0.55, 1.6 * usualLate);
     }
 
     private boolean isOfSlowKind(Host h) { // where sums are thin, hosts of a kind tell of each other
@@ -931,9 +931,9 @@
         }
         double before = letIn;
         if (late > 0.5 && usualLate > 0.35) {
-            letIn = Math.max(0.1, letIn * Math.max(0.4, Math.min(0.55 / late, 0.95 * good / ended)));
+            letIn = Math.max(0.1, letIn * Math.max(0.6, Math.min(0.55 / late, 0.95 * good / ended)));
         } else if (late < 0.4 && letIn < 1) {
-            letIn = Math.min(1, letIn * (1 + (0.45 - late) * 0.4));
+            letIn = Math.min(1, letIn * (1 + (0.45 - late)));
         }
         forgetAt = letIn < before ? now + 2000 + Math.max(1000, lag) : forgetAt; // queues end, sums come
         levelAt = (letIn < before ? forgetAt : now) + 1500; // and fade
--- a/src/test/java/linenring/plan/BalanceTest.java
+++ b/src/test/java/linenring/plan/BalanceTest.java
@@ -167,6 +167,21 @@
         assertEquals(NONE, f.out);
     }
 
+    @Test
+    void aHostThatIsFarTooSlowIsToldFromFewTriesAndHalvedOnceMore() {
+        FakeHost f = new FakeHost(figures(0)).fleet(12, 2);
+        f.balance.traffic(0, 0, 1000, 50);
+        for (int s = 0; s < 25; s++) { // two tries a second: never eight within what sums remember
+            f.balance.tally(2, 0, 2, 0, 2500, 1000);
+            for (int h = 3; h < 12; h++) {
+                f.balance.tally(h, 0, 2, 0, 200, 1000);
+            }
+            f.pass(1000);
+        }
+        assertEquals(0.25, f.weight(0, 2));
+        assertEquals(1, f.weight(0, 3));
+    }
+
     @Test
     void anOperationConfinedToAZoneHasATableOfThatZoneAlone() {
         FakeHost f = new FakeHost(figures(0, operation(1, ALL), operation(3, 1))).fleet(6, 3);
