--- a/src/main/java/linenring/command/Instance.java
+++ b/src/main/java/linenring/command/Instance.java
@@ -95,6 +95,9 @@
 
     /** The steward with this list, or null, and its watch. */
     void begin(HostList known) throws Exception {
+        if (told.leftOut() != null) {
+            log.warn("spoilt", told.leftOut());
+        }
         steward = new Steward(told.figures(), told.names(), known, exchange, log);
         if (plan != null) { // the front has all that the steward decides by, before the steward does
             if (known != null) {
--- a/src/main/java/linenring/configuration/AssignmentReader.java
+++ b/src/main/java/linenring/configuration/AssignmentReader.java
@@ -151,15 +151,16 @@
             throw new BadKey("limits.sockets", ": " + sockets + " is under " + SOCKETS_LEAST);
         }
         HostList list = null;
+        String leftOut = null; // discovery tells the list all the same: what is wrong with this one stops no start
         if (known != null) {
             Decoded<HostList> decoded = new Codec(names).hostList(known, known.length);
-            if (decoded.value() == null) {
-                throw new BadKey("known", ": " + decoded.fault().what());
-            }
             list = decoded.value();
+            leftOut = list == null ? "known: " + decoded.fault().what() + "; begins without it"
+                    : list.spoilt().isEmpty() ? null
+                    : "known: " + list.spoilt().size() + " hosts are left out, the first: " + list.spoilt().get(0);
         }
         return new Assignment(all.find("name"), address(listen, all.find("listen")),
-                address(discovery, all.find("discovery")), sockets, StartReader.read(settings), names, list);
+                address(discovery, all.find("discovery")), sockets, StartReader.read(settings), names, list, leftOut);
     }
 
     /** Lets the environment's value go before the file's; tells the key that it came from. */
--- a/src/test/java/linenring/steward/ChannelAccountTest.java
+++ b/src/test/java/linenring/steward/ChannelAccountTest.java
@@ -7,13 +7,16 @@
 import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Map;
 import java.util.Random;
+import java.util.TreeMap;
 import java.util.stream.IntStream;
 import linenring.exchange.Stream;
 import linenring.log.Log;
 import linenring.message.Order;
 import linenring.plan.Balance;
 import linenring.plan.StartFigures;
+import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
 
@@ -41,6 +44,7 @@
         public void write(Order order) {
             double lines = HEAD + order.lineCount();
             freeAt = Math.max(now, freeAt) + lines / (PACE / slower);
+            order.parts().forEach(part -> part.shutOut().forEach(h -> shutAt.merge(h, freeAt + TRANSIT, Math::max)));
             channel.add(new Sent(this, lines, freeAt, order.parts().get(order.parts().size() - 1).mark(), now));
             written.get(proxy).removeIf(at -> at <= now - 10_000);
             written.get(proxy).add(now);
@@ -57,6 +61,7 @@
     private final List<Sent> channel = new ArrayList<>(), travelling = new ArrayList<>();
     private final List<ArrayDeque<Double>> written = new ArrayList<>();
     private final List<Line> lines = new ArrayList<>();
+    private final Map<String, Double> shutAt = new TreeMap<>(); // by host: when the last proxy hears that it is out
     private double now = 1_000_000, freeAt, slower = 1, mostWaiting;
     private int mostWritten, answered;
 
@@ -124,6 +129,48 @@
         assertTrue(answered > proxies && mostWaiting > 0.1 * limit, "something went on: " + answered + ", " + mostWaiting);
     }
 
+    @Test
+    void drainsBehindTheOrdinaryLinesOfADeepQueueArriveWithinTwoSeconds() {
+        double grace = 2000;
+        StartFigures figures = new StartFigures(List.of(new StartFigures.Operation(1000, 1, -1, -1, false, 3)),
+                new StartFigures.ColdStart(0.2, 18_000),
+                new StartFigures.Channel(1000 * PACE, 4, 14_100, CAP, 10_000, TRANSIT, 3 * TRANSIT, grace),
+                new StartFigures.Slices(0, false, 0, 0), StartFigures.Measure.SHARE, false, 0, false, 6);
+        Books books = new Books(List.of("quote"), 160, new Log(new PrintStream(OutputStream.nullOutputStream())));
+        Balance balance = new Balance(figures, books);
+        balance.clock(now);
+        balance.listOpens(true);
+        IntStream.range(0, 60).forEach(h -> balance.running(books.listed("s-" + h), h % 3, 0, 1, Double.NEGATIVE_INFINITY));
+        balance.listCloses();
+        for (int p = 0; p < 160; p++) {
+            lines.add(new Line(p));
+            written.add(new ArrayDeque<>());
+            books.joined(p, lines.get(p), true);
+            balance.joined(p, p % 3, 1);
+        }
+        Map<String, Double> told = new TreeMap<>();
+        for (int round = 0; round < 700; round++) { // 35 s
+            now += 50;
+            balance.clock(now);
+            deliver(books, balance);
+            balance.listOpens(false);
+            if (round == 400) { // a release: half as many come, and their ramp fills what ordinary lines may
+                IntStream.range(60, 90).forEach(h -> balance.running(books.listed("s-" + h), h % 3, 0, 1, now));
+            } else if (round > 400 && round % 20 == 10) {
+                for (int h = round / 20 * 3 - 60; h < round / 20 * 3 - 57; h++) {
+                    balance.stopping(h, h % 3, 0, 1);
+                    told.put("s-" + h, now);
+                }
+            }
+            balance.listCloses();
+            balance.settle();
+            books.send();
+        }
+        told.forEach((host, at) -> assertTrue(shutAt.get(host) - at <= grace + 300,
+                host + " is out " + (shutAt.get(host) - at) + " ms after the word"));
+        assertTrue(told.size() > 10);
+    }
+
     private void deliver(Books books, Balance balance) {
         channel.removeIf(s -> s.leaves() <= now && travelling.add(s));
         List<Sent> there = travelling.stream().filter(s -> s.leaves() + TRANSIT <= now).toList();
