--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -776,7 +776,7 @@
                 });
     }
 
-    private double dealt(int part) { // cold ones are spread evenly, and none goes where no warm one is
+    private double dealt(int part) { // what its hosts can do; none goes where no warm one is
         List<Host> in = hosts.stream().filter(h -> h.running && h.part == part).toList();
         return in.stream().mapToDouble(h -> h.weight * able(h)).sum()
                 + (in.stream().anyMatch(this::isWarm) ? 0 : 1e6);
@@ -804,7 +804,7 @@
         }
         int fits = wide && parts > 1 ? (int) Math.max(1, parts * Math.min(1, most / lines)) % parts : 0;
         span = fits == 0 || span == 0 || fits > 2 * span || 2 * fits < span ? fits : span;
-        for (Host h : parts == 0 ? List.<Host>of() : hosts) { // who has come since goes where few are cold
+        for (Host h : parts == 0 ? List.<Host>of() : hosts) { // who has come since goes where least can be done
             if (h.running && h.part < 0) {
                 h.part = IntStream.range(0, parts).boxed().min(Comparator.comparing(this::dealt)).orElse(0);
                 tables.stream().filter(t -> t.part >= 0 && open(h, t)).forEach(t -> t.members.add(h));
