--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -804,7 +804,7 @@
         }
         int fits = wide && parts > 1 ? (int) Math.max(1, parts * Math.min(1, most / lines)) % parts : 0;
         span = fits == 0 || span == 0 || fits > 2 * span || 2 * fits < span ? fits : span;
-        for (Host h : parts == 0 ? List.<Host>of() : hosts) { // who has come since goes where least can be done
+        for (Host h : parts == 0 ? List.<Host>of() : hosts) { // newcomers go where least can be done
             if (h.running && h.part < 0) {
                 h.part = IntStream.range(0, parts).boxed().min(Comparator.comparing(this::dealt)).orElse(0);
                 tables.stream().filter(t -> t.part >= 0 && open(h, t)).forEach(t -> t.members.add(h));
--- a/src/test/java/linenring/plan/BalanceTest.java
+++ b/src/test/java/linenring/plan/BalanceTest.java
@@ -112,15 +112,19 @@
         assertEquals(one.weight(0, 0), many.weight(0, 0), 0.03);
     }
 
-    @Test
-    void aColdHostWaitsOutsideWhileMostTriesFailAndComesInAfterwards() {
-        FakeHost f = new FakeHost(figures(0)).asked(10).fleet(6, 2);
+    /** Most tries have failed for three seconds; then a host starts. */
+    private static FakeHost stormBeforeAStart(double askedOfEachProxy) {
+        FakeHost f = new FakeHost(figures(0)).asked(askedOfEachProxy).fleet(6, 2);
         for (int s = 0; s < 3; s++) {
             f.second(6, 0, 30, 800, 20, Set.of(0, 1, 2, 3, 4, 5));
         }
         f.starts(6);
-        f.settle();
-        f.pass(500);
+        return f.settle().pass(500);
+    }
+
+    @Test
+    void aColdHostWaitsOutsideWhileMostTriesFailAndComesInAfterwards() {
+        FakeHost f = stormBeforeAStart(10);
         assertEquals(0, f.weight(0, 6));
         for (int s = 0; s < 9; s++) {
             f.second(6, 0, 10, 100, 0, NONE);
@@ -130,13 +134,7 @@
 
     @Test
     void coldHostsComeInWhileMostTriesFailWhereNoProxyMeetsAHostOftenEnoughToShunTheOthers() {
-        FakeHost f = new FakeHost(figures(0)).asked(1).fleet(6, 2);
-        for (int s = 0; s < 3; s++) {
-            f.second(6, 0, 30, 800, 20, Set.of(0, 1, 2, 3, 4, 5));
-        }
-        f.starts(6);
-        f.settle();
-        f.pass(500);
+        FakeHost f = stormBeforeAStart(1);
         assertTrue(f.weight(0, 6) > 0 && f.weight(0, 6) < 0.2); // at most what it can surely do
     }
 
