--- a/src/test/java/linenring/steward/ChannelAccountTest.java
+++ b/src/test/java/linenring/steward/ChannelAccountTest.java
@@ -65,6 +65,14 @@
     private double now = 1_000_000, freeAt, slower = 1, mostWaiting;
     private int mostWritten, answered;
 
+    private static StartFigures figures(int operations, double limit, double grace) {
+        return new StartFigures(IntStream.rangeClosed(1, operations)
+                .mapToObj(value -> new StartFigures.Operation(1000, value, -1, -1, false, 3)).toList(),
+                new StartFigures.ColdStart(0.2, 18_000),
+                new StartFigures.Channel(1000 * PACE, 4, limit, CAP, 10_000, TRANSIT, 3 * TRANSIT, grace),
+                new StartFigures.Slices(0, false, 0, 0), StartFigures.Measure.SHARE, false, 0, false, 6);
+    }
+
     private void ends(Line line) {
         line.open = false;
         freeAt -= channel.stream().filter(s -> s.to() == line).mapToDouble(Sent::lines).sum() / (PACE / slower);
@@ -75,10 +83,7 @@
     @CsvSource({"1, 60, 30", "2, 300, 100", "3, 300, 100", "4, 300, 100", "5, 120, 200", "6, 1024, 60"})
     void noOrderOfJoinsBreaksSilencesDrainsAndSlownessFillsTheQueueOrTheCap(int seed, int proxies, int hosts) {
         double limit = 22.0 * proxies + 200;
-        StartFigures figures = new StartFigures(List.of(new StartFigures.Operation(1000, 1, -1, -1, false, 3),
-                new StartFigures.Operation(1000, 2, -1, -1, false, 3)), new StartFigures.ColdStart(0.2, 18_000),
-                new StartFigures.Channel(1000 * PACE, 4, limit, CAP, 10_000, TRANSIT, 3 * TRANSIT, 16_000),
-                new StartFigures.Slices(0, false, 0, 0), StartFigures.Measure.SHARE, false, 0, false, 6);
+        StartFigures figures = figures(2, limit, 16_000);
         Books books = new Books(List.of("quote", "book"), proxies, new Log(new PrintStream(OutputStream.nullOutputStream())));
         Balance balance = new Balance(figures, books);
         Random chance = new Random(seed);
@@ -132,10 +137,7 @@
     @Test
     void drainsBehindTheOrdinaryLinesOfADeepQueueArriveWithinTwoSeconds() {
         double grace = 2000;
-        StartFigures figures = new StartFigures(List.of(new StartFigures.Operation(1000, 1, -1, -1, false, 3)),
-                new StartFigures.ColdStart(0.2, 18_000),
-                new StartFigures.Channel(1000 * PACE, 4, 14_100, CAP, 10_000, TRANSIT, 3 * TRANSIT, grace),
-                new StartFigures.Slices(0, false, 0, 0), StartFigures.Measure.SHARE, false, 0, false, 6);
+        StartFigures figures = figures(1, 14_100, grace);
         Books books = new Books(List.of("quote"), 160, new Log(new PrintStream(OutputStream.nullOutputStream())));
         Balance balance = new Balance(figures, books);
         balance.clock(now);
