--- a/src/main/java/linenring/configuration/AssignmentReader.java
+++ b/src/main/java/linenring/configuration/AssignmentReader.java
@@ -156,8 +156,7 @@
             Decoded<HostList> decoded = new Codec(names).hostList(known, known.length);
             list = decoded.value();
             leftOut = list == null ? "known: " + decoded.fault().what() + "; begins without it"
-                    : list.spoilt().isEmpty() ? null
-                    : "known: " + list.spoilt().size() + " hosts are left out, the first: " + list.spoilt().get(0);
+                    : list.leftOut() == null ? null : "known lists " + list.leftOut();
         }
         return new Assignment(all.find("name"), address(listen, all.find("listen")),
                 address(discovery, all.find("discovery")), sockets, StartReader.read(settings), names, list, leftOut);
--- a/src/main/java/linenring/discovery/HostWatch.java
+++ b/src/main/java/linenring/discovery/HostWatch.java
@@ -197,9 +197,8 @@
         if (!holdsList || list.version() > version) {
             version = list.version();
             holdsList = true;
-            if (!list.spoilt().isEmpty()) {
-                log.warn("spoilt", "discovery lists " + list.spoilt().size() + " hosts that are left out, the first: "
-                        + list.spoilt().get(0));
+            if (list.leftOut() != null) {
+                log.warn("spoilt", "discovery lists " + list.leftOut());
             }
             exchange.listed(list);
         } else if (list.version() < version) {
--- a/src/main/java/linenring/message/HostList.java
+++ b/src/main/java/linenring/message/HostList.java
@@ -8,6 +8,11 @@
         this(version, whole, entries, List.of());
     }
 
+    /** How many entries were left out and why the first, in words for the log; null where none was. */
+    public String leftOut() {
+        return spoilt.isEmpty() ? null : spoilt.size() + " hosts that are left out, the first: " + spoilt.get(0);
+    }
+
     /** What a host is listed as. */
     public enum State { READY, TERMINATING, GONE }
 
--- a/src/test/java/linenring/configuration/AssignmentReaderTest.java
+++ b/src/test/java/linenring/configuration/AssignmentReaderTest.java
@@ -102,7 +102,7 @@
         assertEquals("known: field version is not a number; begins without it", none.leftOut());
         Assignment some = read(GOOD.replace("\"servers\":[", "\"servers\":[{\"id\":7},")).assignment();
         assertEquals(1, some.known().entries().size());
-        assertTrue(some.leftOut().startsWith("known: 1 hosts are left out, the first: "), some.leftOut());
+        assertTrue(some.leftOut().startsWith("known lists 1 hosts that are left out, the first: "), some.leftOut());
         assertEquals(null, read(GOOD).assignment().leftOut());
     }
 
