Lines that let hosts back are reckoned with; ordinary lines wait half of the grace

In a probe the account itself stood at "waiting 6859 of 5300 lostIn 0 lateOut 0 lostOut 0 proxies 49 concerned 49" after one settle, so nothing was lost or taken out early; the messages held more than was reckoned: "[ops [] whole false lines 48 level false shut 0 back 47]". Cause: most tries fail in a release, wanted() cuts all cold hosts at once (cutRestarted, up to 0.85 of the queue), and each line also lets its host back at a proxy that came from another steward, which lay() took for one line. Ruled out: answers that were reckoned to have come (79 early ones by 20 to 240 ms, no more than 130 lines at a time, none at that moment) and lost streams.

Change: Orders.lineBrings tells what a line brings at a proxy; lay() and the room for a sub-update reckon with it. ChannelAccountTest: 5473 of 5280 lines without the mend. What it also holds against: a withdrawn host that a table gains. It may hurt where many proxies have just changed stewards: their sub-updates count for up to twice their lines.

Ordinary lines before a drain: two seconds of them outlast a grace of 1.5 s (host out after 1,857 ms of 1,800 in the same test with a grace of 1,500); now half of the grace at most. Reason: the grace in the settings. Other constants are untouched.

--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -703,7 +703,7 @@
         if (weight != laid(h, t)) {
             orders.line(t.number, h.id, weight);
             setLaid(h, t, weight);
-            users(t).forEach(p -> order(p, 1));
+            users(t).forEach(p -> order(p, 1 + orders.lineBrings(h.id, p.id)));
         }
     }
 
@@ -718,8 +718,7 @@
     private boolean sendSubUpdate() {
         double gap = Math.max(roundTrip, messagesMost > 0 ? messagesOver / (0.6 * messagesMost) : 0);
         Table next = tables.stream().filter(t -> t.length == 0 || gapOver(t, gap) || cutDue(t))
-                .filter(t -> pending(t) > 0 && !onlyBinds(t))
-                .filter(t -> allHaveRoom(t, Math.min(pending(t), piece(t))))
+                .filter(t -> pending(t) > 0 && !onlyBinds(t) && allHaveRoom(t))
                 .min(Comparator.comparingDouble(t -> unsent(t, 1))).orElse(null);
         Stream.ofNullable(next).forEach(this::layDue);
         return next != null;
@@ -834,10 +833,10 @@
         return tablesWith(h).stream().allMatch(t -> gapOver(t, 0)) && mayWrite(holders(h), 1, URGENT);
     }
 
-    /** How much may wait: the ordinary stands two seconds before the rest, however deep the queue is. */
+    /** How much may wait: the ordinary at most two seconds, or half of the grace, however deep the queue. */
     private double upTo(double part, int users) { // and room for a line to each of them
         return part > LINES ? part * mostWaiting : Math.min(LINES * mostWaiting,
-                Math.max(2000 * pace, 2 * users * (1 + perMessage)));
+                Math.max(Math.min(2000, grace / 2) * pace, 2 * users * (1 + perMessage)));
     }
 
     private boolean mayWrite(Collection<Proxy> to, double lines, double part) {
@@ -854,8 +853,8 @@
     }
 
     /** The window: a round trip's lines, at least 5 messages. Who is slow or frozen holds up no batch. */
-    private boolean hasRoom(Proxy p, double lines, int users) {
-        return p.unanswered.size() < 5 || p.out + lines <= roundTrip * pace / users
+    private boolean hasRoom(Proxy p, double lines, Table t) {
+        return p.unanswered.size() < 5 || p.out + lines <= roundTrip * pace / users(t).size()
                 || now - p.unanswered.peek().at > Math.max(3 * roundTrip, 2 * transitMost);
     }
 
@@ -865,9 +864,11 @@
         return (long) Math.max(1, 0.5 * upTo(LINES, to) / to - perMessage);
     }
 
-    private boolean allHaveRoom(Table t, double lines) {
-        return mayWrite(users(t), lines, LINES)
-                && users(t).stream().allMatch(p -> hasRoom(p, lines, users(t).size()));
+    private boolean allHaveRoom(Table t) { // a line may bring one more to who was with another steward
+        List<Host> due = t.members.stream().filter(h -> due(h, t)).limit(piece(t)).toList();
+        double lines = Math.min(pending(t), piece(t)) + users(t).stream().mapToInt(p -> due.stream()
+                .mapToInt(h -> orders.lineBrings(h.id, p.id)).sum()).max().orElse(0);
+        return mayWrite(users(t), lines, LINES) && users(t).stream().allMatch(p -> hasRoom(p, lines, t));
     }
 
     private void requestBarrier() { // one for all messages of this reply; each proxy concerned answers it
--- a/src/main/java/linenring/plan/Orders.java
+++ b/src/main/java/linenring/plan/Orders.java
@@ -27,6 +27,12 @@
      */
     int bindBrings(int table, int proxy);
 
+    /**
+     * How many lines one for this host would take at a proxy beyond itself: it may have to be let back there, or shut out;
+     * asked before it is ordered.
+     */
+    int lineBrings(int host, int proxy);
+
     /** Sets how much of the operations is let in, and how proxies try again. */
     void level(int table, int operations, double letIn, FurtherTries tries);
 
--- a/src/main/java/linenring/steward/Books.java
+++ b/src/main/java/linenring/steward/Books.java
@@ -61,9 +61,15 @@
         return proxies.get(proxy).stream == stream;
     }
 
+    /** Whether the proxy has a stream that was opened after this one. */
+    boolean hasNewer(int proxy, Stream stream) {
+        Stream has = proxies.get(proxy).stream;
+        return has != null && has.number() > stream.number();
+    }
+
     /** The proxy that speaks on this stream, or -1: it is none's, or that of a proxy that has a newer one. */
     int proxyOf(Stream stream) {
-        return proxies.stream().filter(p -> p.stream == stream).mapToInt(p -> p.id).findFirst().orElse(-1);
+        return proxies.stream().filter(p -> stream != null && p.stream == stream).mapToInt(p -> p.id).findFirst().orElse(-1);
     }
 
     void joined(int proxy, Stream stream, boolean fresh) {
@@ -159,6 +165,11 @@
         return (int) table(table).lines.keySet().stream().filter(h -> !out.get(h) && p.mustBeLetBack(h)).count();
     }
 
+    @Override
+    public int lineBrings(int host, int proxy) {
+        return proxies.get(proxy).holds(host) == (out.get(host) ? Proxy.SHUT : Proxy.OPEN) ? 0 : 1;
+    }
+
     @Override
     public void level(int table, int mask, double letIn, FurtherTries tries) {
         Order.Level level = new Order.Level(letIn, tries.ordinal());
@@ -229,10 +240,7 @@
 
     /** Sends what was ordered since the last time: one message for each proxy concerned. */
     void send() {
-        for (Proxy p : List.copyOf(concerned)) {
-            p.stream.write(p.next != null ? p.next : messages.to(p, mark));
-            p.next = null;
-        }
+        List.copyOf(concerned).forEach(this::send);
         proxies.forEach(p -> p.rebound.clear());
         tables.values().forEach(Table::sent);
         tables.entrySet().removeIf(e -> e.getValue().lines.isEmpty()
@@ -242,4 +250,15 @@
         concerned.clear();
         mark = Order.NO_MARK;
     }
+
+    /** What a fault keeps from one proxy keeps nothing from the others; it is let go, joins anew and gets its table whole. */
+    private void send(Proxy p) {
+        try {
+            p.stream.write(p.next != null ? p.next : messages.to(p, mark));
+            p.next = null;
+        } catch (RuntimeException e) {
+            log.error("fault", "proxy " + p.id + " can't be written to and is let go: " + e);
+            p.stream.close("can't be written to");
+        }
+    }
 }
--- a/src/main/java/linenring/wirehost/Steward.java
+++ b/src/main/java/linenring/wirehost/Steward.java
@@ -76,6 +76,11 @@
         return 0; // there a bind ends the withdrawals of others by itself
     }
 
+    @Override
+    public int lineBrings(int host, int proxy) {
+        return 0; // nor does a line say more than its weight
+    }
+
     @Override
     public void level(int table, int operations, double letIn, FurtherTries tries) {
         order("level").append(" Sheet=").append(table == EVERY_TABLE ? WIRE_EVERY_TABLE : table)
--- a/src/test/java/linenring/plan/FakeHost.java
+++ b/src/test/java/linenring/plan/FakeHost.java
@@ -150,6 +150,11 @@
         return bindsBring;
     }
 
+    @Override
+    public int lineBrings(int host, int proxy) {
+        return 0;
+    }
+
     @Override
     public void level(int table, int operations, double letIn, FurtherTries how) {
         levels.put(operations, letIn);
--- a/src/test/java/linenring/steward/BooksTest.java
+++ b/src/test/java/linenring/steward/BooksTest.java
@@ -207,9 +207,11 @@
         books.withdraw(1, true);
         books.send();
         assertEquals(List.of(part(List.of(), false, null, List.of("s-1"), NONE, Order.NO_MARK)), way.last());
+        assertEquals(List.of(1, 0, 1), List.of(books.lineBrings(0, 0), books.lineBrings(1, 0), books.lineBrings(2, 0)));
         books.line(7, 2, 0.5);
         books.send();
         assertEquals(List.of("s-2", "s-0"), way.last().get(0).letBack());
+        assertEquals(0, books.lineBrings(2, 0));
     }
 
     @Test
--- a/src/test/java/linenring/steward/ChannelAccountTest.java
+++ b/src/test/java/linenring/steward/ChannelAccountTest.java
@@ -19,6 +19,7 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.params.ParameterizedTest;
 import org.junit.jupiter.params.provider.CsvSource;
+import org.junit.jupiter.params.provider.ValueSource;
 
 /**
  * The decisions and the real books against a channel that is reckoned by itself: one message after the other at its own
@@ -134,9 +135,9 @@
         assertTrue(answered > proxies && mostWaiting > 0.1 * limit, "something went on: " + answered + ", " + mostWaiting);
     }
 
-    @Test
-    void drainsBehindTheOrdinaryLinesOfADeepQueueArriveWithinTwoSeconds() {
-        double grace = 2000;
+    @ParameterizedTest(name = "grace {0} ms")
+    @ValueSource(doubles = {2000, 1500})
+    void drainsBehindTheOrdinaryLinesOfADeepQueueArriveWithinTheGrace(double grace) {
         StartFigures figures = figures(1, 14_100, grace);
         Books books = new Books(List.of("quote"), 160, new Log(new PrintStream(OutputStream.nullOutputStream())));
         Balance balance = new Balance(figures, books);
@@ -173,6 +174,40 @@
         assertTrue(told.size() > 10);
     }
 
+    /**
+     * Most tries fail at a fleet that has just started, and the weights of all its hosts are cut at once. Each line lets its
+     * host back too, which the steward that was in charge before may have shut out there.
+     */
+    @Test
+    void linesToProxiesThatOthersWereInChargeOfAreReckonedWithAllThatTheyBring() {
+        int count = 49, hosts = 50;
+        double limit = 22.0 * 240; // most of its proxies are with others
+        Books books = new Books(List.of("quote"), count, new Log(new PrintStream(OutputStream.nullOutputStream())));
+        Balance balance = new Balance(figures(1, limit, 16_000), books);
+        balance.clock(now);
+        balance.listOpens(true);
+        IntStream.range(0, hosts).forEach(h -> balance.running(books.listed("s-" + h), h % 3, 0, 1, now));
+        balance.listCloses();
+        for (int p = 0; p < count; p++) {
+            lines.add(new Line(p));
+            written.add(new ArrayDeque<>());
+            books.joined(p, lines.get(p), false);
+            balance.joined(p, p % 3, 1);
+        }
+        for (int round = 0; round < 400; round++) { // 20 s
+            now += 50;
+            balance.clock(now);
+            deliver(books, balance);
+            if (round == 81) { // while the step of the ramp before it waits still
+                IntStream.range(0, hosts).forEach(h -> balance.tally(h, h % 3, 10, 8, 100, 1000));
+            }
+            balance.settle();
+            books.send();
+        }
+        assertTrue(mostWaiting <= limit, mostWaiting + " lines waited of " + limit);
+        assertTrue(mostWaiting > 0.7 * limit, "the cut came in one: " + mostWaiting);
+    }
+
     private void deliver(Books books, Balance balance) {
         channel.removeIf(s -> s.leaves() <= now && travelling.add(s));
         List<Sent> there = travelling.stream().filter(s -> s.leaves() + TRANSIT <= now).toList();
