Streams: the later one counts whichever is read first; none dies uncounted or unheard

A dial that was given up, read after its successor, ended the successor. Streams are numbered as they are accepted; an older one's joining is passed over and the stream closed. - StreamServer.accepting was never counted down for a socket that died before it was opened: after most + 12 such, all newcomers were refused. The set of those on the way is kept, and the dead are left out of it. - A socket accepted or opened while the server closes was in no list; now it is closed at once. - The end of a stream can't overtake its joining: onClose waits for what is being taken in. That hung on letLineGo alone; said now. - Sums beyond the bound were dropped newest first, so that old ones decided; now the oldest go. - A follower's fault kept a list from the steward though its version was taken; now it is told all the same. - A fault in Books.joined, left or one proxy's message ended the steward's thread; one entry's ended the list. Each is its own now. - The front's membership joined again after it had left, and ended a stream it did not have.

--- a/src/main/java/linenring/exchange/Exchange.java
+++ b/src/main/java/linenring/exchange/Exchange.java
@@ -4,6 +4,7 @@
 import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.atomic.AtomicLong;
 import java.util.concurrent.locks.Condition;
 import java.util.concurrent.locks.ReentrantLock;
 import java.util.function.Consumer;
@@ -14,7 +15,7 @@
  * Where streams and discovery meet the steward: they leave what has come, in order, and never wait; the
  * steward's one thread takes all that is there.
  */
-public final class Exchange {
+public class Exchange {
     /** What the steward does with each thing that was left. */
     public interface Taker {
         void arrived(Stream from, Arrival what);
@@ -28,13 +29,17 @@
         void to(Taker taker);
     }
 
-    /** Sums beyond this many waiting things are dropped: half a minute of a large site's, a few MB. */
+    /** What was left, and as the how manieth. */
+    private record Numbered(long number, Left left) { }
+
+    /** Of more waiting sums the oldest are dropped: half a minute of a large site's, a few MB. */
     private static final int SUMS_MOST = 20_000;
 
     private final ReentrantLock lock = new ReentrantLock();
     private final Condition something = lock.newCondition();
-    private ArrayDeque<Left> waiting = new ArrayDeque<>();
-    private long dropped;
+    private final ArrayDeque<Numbered> sums = new ArrayDeque<>(), others = new ArrayDeque<>(); // each in order
+    private long number, dropped;
+    private final AtomicLong streams = new AtomicLong();
     private final List<Consumer<HostList>> followers = new CopyOnWriteArrayList<>();
 
     /** Tells of each list and each change too, on the thread that brings it; for who must know addresses. */
@@ -42,28 +47,37 @@
         followers.add(follower);
     }
 
+    /** The number of the next stream: of two of one proxy the one that was opened later counts, whichever is read first. */
+    public long nextStream() {
+        return streams.incrementAndGet();
+    }
+
     public void arrived(Stream from, Arrival what) {
-        boolean sums = what instanceof Arrival.HostSums || what instanceof Arrival.Usage;
-        leave(taker -> taker.arrived(from, what), sums);
+        boolean isSum = what instanceof Arrival.HostSums || what instanceof Arrival.Usage;
+        leave(taker -> taker.arrived(from, what), isSum ? sums : others);
     }
 
     public void ended(Stream which) {
-        leave(taker -> taker.ended(which), false);
+        leave(taker -> taker.ended(which), others);
     }
 
+    /** A follower's fault is thrown on, and the steward is told all the same: nobody tells this list again. */
     public void listed(HostList list) {
-        followers.forEach(f -> f.accept(list));
-        leave(taker -> taker.listed(list), false);
+        try {
+            followers.forEach(f -> f.accept(list));
+        } finally {
+            leave(taker -> taker.listed(list), others);
+        }
     }
 
-    private void leave(Left what, boolean mayDrop) {
+    private void leave(Left what, ArrayDeque<Numbered> to) {
         lock.lock();
         try {
-            if (mayDrop && waiting.size() >= SUMS_MOST) {
+            if (sums.size() == SUMS_MOST && to == sums) { // the newest tell most
+                sums.poll();
                 dropped++;
-                return;
             }
-            waiting.add(what);
+            to.add(new Numbered(number++, what));
             something.signal();
         } finally {
             lock.unlock();
@@ -75,23 +89,29 @@
         lock.lock();
         try {
             long left = nanos;
-            while (waiting.isEmpty() && left > 0) {
+            while (isEmpty() && left > 0) {
                 left = something.awaitNanos(left);
             }
-            return !waiting.isEmpty();
+            return !isEmpty();
         } finally {
             lock.unlock();
         }
     }
 
-    /** Hands over all that is there; tells how many sums were dropped since the last time. */
+    private boolean isEmpty() {
+        return sums.isEmpty() && others.isEmpty();
+    }
+
+    /** Hands over all that is there, in order; tells how many sums were dropped since the last time. */
     public long drain(Taker taker) {
-        List<Left> all;
+        List<Left> all = new ArrayList<>();
         long lost;
         lock.lock();
         try {
-            all = new ArrayList<>(waiting);
-            waiting.clear();
+            while (!isEmpty()) {
+                boolean sum = others.isEmpty() || !sums.isEmpty() && sums.peek().number() < others.peek().number();
+                all.add((sum ? sums : others).poll().left());
+            }
             lost = dropped;
             dropped = 0;
         } finally {
--- a/src/main/java/linenring/front/Membership.java
+++ b/src/main/java/linenring/front/Membership.java
@@ -23,6 +23,13 @@
 
     /** One stream to the steward; orders on one that was left change nothing. */
     private final class Joined implements Stream {
+        private final long number = exchange.nextStream();
+
+        @Override
+        public long number() {
+            return number;
+        }
+
         @Override
         public void write(Order order) {
             orders.offer(() -> apply(this, order));
@@ -82,7 +89,10 @@
         this.log = log;
     }
 
-    void join() {
+    synchronized void join() {
+        if (leaving) {
+            return; // told to leave while it waited to join again
+        }
         Joined now = new Joined();
         joined = now;
         exchange.arrived(now, new Arrival.Joining(plan.proxy(), plan.zone(), plan.usual(), tables.isFresh()));
@@ -98,9 +108,11 @@
         scheduler.schedule(this::report, (long) plan.reportMs(), TimeUnit.MILLISECONDS);
     }
 
-    void leave() {
+    synchronized void leave() {
         leaving = true;
-        exchange.ended(joined);
+        if (joined != null) { // else it is between two streams, and has none to end
+            exchange.ended(joined);
+        }
     }
 
     private void apply(Joined on, Order order) {
--- a/src/main/java/linenring/steward/Steward.java
+++ b/src/main/java/linenring/steward/Steward.java
@@ -54,7 +54,7 @@
         }
     }
 
-    /** Takes in all that has come and acts on it, as of now. */
+    /** Takes in all that has come and acts on it, as of now; a fault at one thing that came leaves out that thing alone. */
     void round(double now) {
         books.alarmsUpTo(now);
         decide(() -> balance.clock(now));
@@ -70,59 +70,77 @@
         decide(books::send);
     }
 
-    /** A fault in one decision is told and must not end the others. */
-    private void decide(Runnable call) {
+    /** A fault in one decision is told and must not end the others; false where there was one. */
+    private boolean decide(Runnable call) {
         try {
             call.run();
+            return true;
         } catch (RuntimeException e) {
             StackTraceElement[] trace = e.getStackTrace();
             log.error("fault", e + (trace.length > 0 ? " at " + trace[0] : ""));
+            return false;
         }
     }
 
     @Override
     public void arrived(Stream from, Arrival what) {
-        if (what instanceof Arrival.Joining j) {
-            log.info("proxy", j.proxy() + " joins" + (j.fresh() ? "" : " with a table"));
-            books.joined(j.proxy(), from, j.fresh());
-            decide(() -> balance.joined(j.proxy(), j.zone(), j.usual()));
-        } else if (what instanceof Arrival.Applied a) {
-            if (books.isCurrent(a.proxy(), from)) { // an old stream's answer tells nothing of the new one
-                decide(() -> balance.inForce(a.proxy(), a.mark(), a.tookMs()));
-            }
-        } else if (what instanceof Arrival.HostSums s) {
-            int host = books.host(s.host());
-            if (host >= 0) {
-                decide(() -> balance.tally(host, s.zone(), s.total(), s.bad(), s.meanMs(), s.spanMs()));
+        decide(() -> {
+            if (what instanceof Arrival.Joining j) {
+                joined(from, j);
+            } else if (what instanceof Arrival.Applied a) {
+                if (books.isCurrent(a.proxy(), from)) { // an old stream's answer tells nothing of the new one
+                    balance.inForce(a.proxy(), a.mark(), a.tookMs());
+                }
+            } else if (what instanceof Arrival.HostSums s) {
+                int host = books.host(s.host());
+                if (host >= 0) {
+                    balance.tally(host, s.zone(), s.total(), s.bad(), s.meanMs(), s.spanMs());
+                }
+            } else if (what instanceof Arrival.Usage u) {
+                balance.traffic(u.proxy(), u.operation(), u.spanMs(), u.total());
             }
-        } else if (what instanceof Arrival.Usage u) {
-            decide(() -> balance.traffic(u.proxy(), u.operation(), u.spanMs(), u.total()));
-        }
+        });
     }
 
-    @Override
-    public void ended(Stream which) {
-        int proxy = books.proxyOf(which);
-        if (proxy >= 0) { // else it has a newer stream, and this end is late
-            log.info("proxy", proxy + " leaves");
-            books.left(proxy);
-            decide(() -> balance.lost(proxy));
+    private void joined(Stream from, Arrival.Joining j) {
+        if (books.hasNewer(j.proxy(), from)) { // both were read in one turn, in either order
+            log.info("proxy", j.proxy() + " joins on an older stream than it has");
+            from.close("has been replaced before it was read");
+            return;
         }
+        log.info("proxy", j.proxy() + " joins" + (j.fresh() ? "" : " with a table"));
+        books.joined(j.proxy(), from, j.fresh());
+        balance.joined(j.proxy(), j.zone(), j.usual());
     }
 
     @Override
-    public void listed(HostList list) {
+    public void ended(Stream which) {
         decide(() -> {
-            balance.listOpens(list.whole() && list.spoilt().isEmpty()); // whom it could not name has not gone
-            for (HostList.Entry e : list.entries()) {
-                int host = books.listed(e.host());
-                switch (e.state()) {
-                    case READY -> balance.running(host, e.zone(), e.kind(), e.weight(), e.startedMs());
-                    case TERMINATING -> balance.stopping(host, e.zone(), e.kind(), e.weight());
-                    case GONE -> balance.gone(host);
-                }
+            int proxy = books.proxyOf(which);
+            if (proxy >= 0) { // else it has a newer stream, and this end is late
+                log.info("proxy", proxy + " leaves");
+                books.left(proxy);
+                balance.lost(proxy);
             }
-            balance.listCloses();
         });
     }
+
+    /** A fault at one entry leaves out that entry, and nobody goes for not being named, as in a list with a spoilt one. */
+    @Override
+    public void listed(HostList list) {
+        boolean opened = decide(() -> balance.listOpens(list.whole() && list.spoilt().isEmpty()));
+        long faults = list.entries().stream().filter(e -> !decide(() -> listed(e))).count();
+        if (opened && faults == 0) {
+            decide(balance::listCloses);
+        }
+    }
+
+    private void listed(HostList.Entry e) {
+        int host = books.listed(e.host());
+        switch (e.state()) {
+            case READY -> balance.running(host, e.zone(), e.kind(), e.weight(), e.startedMs());
+            case TERMINATING -> balance.stopping(host, e.zone(), e.kind(), e.weight());
+            case GONE -> balance.gone(host);
+        }
+    }
 }
--- a/src/main/java/linenring/streams/PeerConnection.java
+++ b/src/main/java/linenring/streams/PeerConnection.java
@@ -37,6 +37,7 @@
     private record Mark(int mark, long at) { }
 
     private final StreamServer server;
+    private final long number;
     private final long openedAt = System.nanoTime();
     private byte[] line = new byte[LINE_LEAST];
     private int length;
@@ -80,9 +81,15 @@
         }
     };
 
-    PeerConnection(EndPoint endPoint, Executor executor, StreamServer server) {
+    PeerConnection(EndPoint endPoint, Executor executor, StreamServer server, long number) {
         super(endPoint, executor);
         this.server = server;
+        this.number = number;
+    }
+
+    @Override
+    public long number() {
+        return number;
     }
 
     @Override
@@ -134,12 +141,14 @@
         end("was reset", false);
         letLineGo();
         server.closed(this);
-        if (stage == Stage.PROXY) {
-            server.exchange.ended(this);
+        synchronized (this) { // what is being taken in is told first: no end overtakes its joining
+            if (stage == Stage.PROXY) {
+                server.exchange.ended(this);
+            }
         }
     }
 
-    /** Takes bytes in; false once the connection is done with. */
+    /** Takes bytes in; false once the connection is done with: from then on nothing of it is told but its end. */
     private synchronized boolean take(byte[] from, int start, int count) {
         if (ending) {
             return false;
--- a/src/main/java/linenring/streams/StreamServer.java
+++ b/src/main/java/linenring/streams/StreamServer.java
@@ -7,6 +7,7 @@
 import java.nio.channels.SelectionKey;
 import java.nio.channels.ServerSocketChannel;
 import java.nio.channels.SocketChannel;
+import java.util.HashSet;
 import java.util.LinkedHashSet;
 import java.util.List;
 import java.util.Set;
@@ -50,7 +51,7 @@
     private long sweptAt = System.nanoTime();
     private int held;
     private boolean closed;
-    private int accepting; // accepted, and not among the connections yet
+    private final Set<SelectableChannel> accepting = new HashSet<>(); // accepted, and not among the connections yet
 
     StreamServer(Executor executor, Scheduler scheduler, int sockets, Codec codec, Exchange exchange,
             Log log) {
@@ -87,14 +88,20 @@
     /** Frees the address and ends all connections. */
     public void close() {
         List<PeerConnection> all;
-        synchronized (connections) {
+        List<SelectableChannel> halfway;
+        synchronized (connections) { // from here on whoever is accepted or opened ends at once
             closed = true;
             all = List.copyOf(connections);
+            halfway = List.copyOf(accepting);
+            accepting.clear();
         }
         try {
             if (channel != null) {
                 channel.close();
             }
+            for (SelectableChannel c : halfway) {
+                c.close();
+            }
             all.forEach(c -> c.close("is told to dial again"));
             stop();
         } catch (Exception e) { // stop() may throw any
@@ -104,16 +111,23 @@
 
     @Override
     protected void accepted(SelectableChannel channel) throws IOException {
+        long number = exchange.nextStream(); // here they come in the order in which they were made
         synchronized (connections) {
-            if (connections.size() + accepting >= most + SPARE_SOCKETS) { // so many at once that none could make room
+            accepting.removeIf(c -> !c.isOpen()); // those that died on the way, whatever ended them
+            if (closed || connections.size() + accepting.size() >= most + SPARE_SOCKETS) { // none could make room
                 channel.close();
                 return;
             }
-            accepting++;
+            accepting.add(channel);
+        }
+        try {
+            channel.configureBlocking(false);
+            ((SocketChannel) channel).setOption(StandardSocketOptions.TCP_NODELAY, true);
+            accept(channel, number);
+        } catch (IOException | RuntimeException e) {
+            channel.close();
+            throw e;
         }
-        channel.configureBlocking(false);
-        ((SocketChannel) channel).setOption(StandardSocketOptions.TCP_NODELAY, true);
-        accept(channel);
     }
 
     @Override
@@ -127,15 +141,17 @@
     @Override
     public Connection newConnection(SelectableChannel channel, EndPoint endPoint, Object attachment) {
         synchronized (connections) {
-            accepting--;
+            accepting.remove(channel);
         }
-        return new PeerConnection(endPoint, getExecutor(), this);
+        return new PeerConnection(endPoint, getExecutor(), this, (Long) attachment);
     }
 
     void opened(PeerConnection connection) {
         PeerConnection goes = null;
+        boolean late;
         synchronized (connections) {
             connections.add(connection);
+            late = closed;
             if (connections.size() > most) { // strangers make room for who may be a proxy
                 long then = System.nanoTime() - NEW_NS;
                 goes = connections.stream().filter(c -> c.isStranger() && c.isOpenSince(then)).findFirst()
@@ -143,6 +159,9 @@
                 connections.remove(goes);
             }
         }
+        if (late) {
+            connection.close("is told to dial again");
+        }
         if (goes != null) {
             goes.end("makes room, " + most + " connections are open", true);
         }
--- a/src/test/java/linenring/exchange/ExchangeTest.java
+++ b/src/test/java/linenring/exchange/ExchangeTest.java
@@ -2,6 +2,7 @@
 
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.util.ArrayList;
@@ -52,4 +53,32 @@
         assertEquals(20_002, taken.size());
         assertEquals(0, exchange.drain(this));
     }
+
+    @Test
+    void inAFloodOfSumsTheNewestAreKeptInTheirPlaceAmongTheRest() {
+        exchange.arrived(null, new Arrival.Joining(1, 0, 1, true));
+        for (int i = 0; i < 30_000; i++) {
+            exchange.arrived(null, new Arrival.Usage(1, 0, i, 500));
+            if (i == 29_000) {
+                exchange.arrived(null, new Arrival.Applied(1, 7, 100));
+            }
+        }
+        exchange.drain(this);
+        assertEquals(new Arrival.Joining(1, 0, 1, true), taken.get(0));
+        assertEquals(new Arrival.Usage(1, 0, 10_000, 500), taken.get(1)); // those before it are too old to go by
+        assertEquals(new Arrival.Usage(1, 0, 29_999, 500), taken.get(taken.size() - 1));
+        assertEquals(new Arrival.Applied(1, 7, 100), taken.get(taken.indexOf(new Arrival.Usage(1, 0, 29_000, 500)) + 1));
+    }
+
+    /** The watch goes on from this list's version: who is not told of it now never is. */
+    @Test
+    void aListReachesTheStewardThoughOneWhoFollowsItFails() {
+        HostList list = new HostList(7, true, List.of());
+        exchange.follow(l -> {
+            throw new IllegalStateException("a follower's fault");
+        });
+        assertThrows(IllegalStateException.class, () -> exchange.listed(list));
+        exchange.drain(this);
+        assertEquals(List.of(list), taken);
+    }
 }
--- a/src/test/java/linenring/streams/StreamServerTest.java
+++ b/src/test/java/linenring/streams/StreamServerTest.java
@@ -62,7 +62,7 @@
         Peer(StreamServer server, int unreadMost) {
             super(null, 0, new byte[0], unreadMost);
             setGrowOutput(unreadMost == 0);
-            connection = new PeerConnection(this, Runnable::run, server);
+            connection = new PeerConnection(this, Runnable::run, server, 0);
             setConnection(connection);
             connection.onOpen();
         }
