The watch: a source that counts anew, drips, or speaks rubbish; dials that fail at once

Read for races and rare answers, each with its story on loopback or in HostWatchTest: - A discovery that was moved to by SIGHUP and numbers its lists from below ours was passed over for ever. It is while it may only be late (6 s, the protocol's bound); then its whole list is asked for and taken. Decided in Versions, without I/O. An address that did not change is never taken for another: what it tells under older versions changes nothing, as before. - A line that could not be read made the new address the one that serves. Now only a word that can be used does. - speaks() and told() were two locked steps, and a move could fall between; the list is judged with the source in one. - A dial that is through at once and can't be registered told nobody (onAcceptFailed): no watch for ever. - Bytes that drip without the end of a line kept a watch open for ever; six seconds without a line's end ends it. - A whole list of the version that is held is taken: ours may lack entries that could not be read.

--- a/src/main/java/linenring/discovery/AgentConnection.java
+++ b/src/main/java/linenring/discovery/AgentConnection.java
@@ -31,6 +31,8 @@
     private static final int BODY_MOST = 8 << 20; // some 60,000 hosts
     private static final long SILENT_MS = 2500;   // a blank line is due every 2 s, and half a second is for its way
 
+    private static final long LINE_NS = 6_000_000_000L; // bytes alone are no word: what is told is due after so long
+
     private final HostWatch watch;
     private final HostWatch.Source source;
     private final String target;
@@ -39,6 +41,7 @@
     private final ByteBuffer read = BufferUtil.allocate(READ);
     private byte[] line = new byte[4096];
     private int length, status;
+    private long lineAt; // when the last line had come to its end, be it a blank one
     private Reached reached = Reached.CONNECTED;
     private String broken;
     private boolean complete, ended;
@@ -50,6 +53,7 @@
         this.source = source;
         this.target = target;
         this.once = once;
+        this.lineAt = watch.now();
         endPoint.setIdleTimeout(SILENT_MS);
     }
 
@@ -106,6 +110,9 @@
                 while (read.hasRemaining() && broken == null && !complete) {
                     parser.parseNext(read);
                 }
+                if (watch.now() - lineAt > LINE_NS && broken == null && !complete) {
+                    broken = "no line has come to its end for " + LINE_NS / 1_000_000 + " ms";
+                }
                 if (broken != null || complete) {
                     end(broken != null ? broken : "the answer is complete");
                     return;
@@ -188,26 +195,24 @@
     private void lineEnds() {
         int whole = length;
         length = 0;
-        if (!watch.speaks(source)) {
-            broken = "discovery has moved on";
-            return;
-        }
+        lineAt = watch.now();
         boolean blank = true;
         for (int i = 0; i < whole && blank; i++) {
             blank = line[i] == ' ' || line[i] == '\r' || line[i] == '\t';
         }
         if (blank) {
+            broken = watch.speaks(source) ? watch.asksAnew(source) : HostWatch.MOVED_ON;
             reached = Reached.TOLD; // that nothing has changed
             return;
         }
         Decoded<HostList> list = watch.codec.hostList(line, whole);
         if (list.value() == null) {
             broken = "can't be read, " + list.fault();
-        } else if (!watch.told(list.value())) {
-            broken = "changes where no list is held";
-        } else {
-            reached = Reached.TOLD;
+            return;
         }
+        String fault = watch.told(source, list.value());
+        reached = fault == null ? Reached.TOLD : reached;
+        broken = fault;
     }
 
     @Override
--- a/src/main/java/linenring/discovery/HostWatch.java
+++ b/src/main/java/linenring/discovery/HostWatch.java
@@ -8,6 +8,7 @@
 import java.nio.channels.SocketChannel;
 import java.util.concurrent.Executor;
 import java.util.concurrent.TimeUnit;
+import java.util.function.LongSupplier;
 import linenring.exchange.Exchange;
 import linenring.log.Log;
 import linenring.message.Codec;
@@ -33,12 +34,15 @@
     /** One address of discovery's agent: attempts are made there, one after the other, until it is left. */
     static final class Source {
         final InetSocketAddress at;
+        final Versions.Told told;
         private long wait = REDIAL_LEAST_MS;
         private boolean left;
+        SocketChannel dialled;                 // the last attempt's; guarded by the watch
         private AgentConnection open;
 
-        Source(InetSocketAddress at) {
+        Source(InetSocketAddress at, boolean movedTo) {
             this.at = at;
+            told = new Versions.Told(movedTo);
         }
 
         @Override
@@ -47,6 +51,7 @@
         }
     }
 
+    static final String MOVED_ON = "discovery has moved on";
     private static final long CONNECT_MS = 1000;   // the agent is on this machine
     private static final long REDIAL_LEAST_MS = 20;
     private static final long REDIAL_MOST_MS = 500; // what is not asked for counts as told after 6 s all the same
@@ -55,23 +60,26 @@
     final Log log;
     private final Exchange exchange;
     private final Scheduler clock;
+    private final LongSupplier nanos;
+    private final Versions versions;
     private Source serving, next; // next: where discovery has moved to, while it has told nothing; else null
-    private long version;
-    private boolean holdsList;
 
     public HostWatch(InetSocketAddress at, HostList known, Codec codec, Exchange exchange, Log log,
             Executor executor, Scheduler scheduler) {
+        this(at, known, codec, exchange, log, executor, scheduler, System::nanoTime);
+    }
+
+    HostWatch(InetSocketAddress at, HostList known, Codec codec, Exchange exchange, Log log,
+            Executor executor, Scheduler scheduler, LongSupplier nanos) {
         super(executor, scheduler, 1);
-        this.serving = new Source(at);
+        this.nanos = nanos;
+        this.versions = new Versions(known);
+        this.serving = new Source(at, false);
         this.codec = codec;
         this.exchange = exchange;
         this.log = log;
         this.clock = scheduler;
         setConnectTimeout(CONNECT_MS);
-        if (known != null) {
-            version = known.version();
-            holdsList = true;
-        }
     }
 
     /** Dials until it is told; never gives up. */
@@ -86,16 +94,18 @@
 
     /** Discovery is to be found there from now on. */
     public void moveTo(InetSocketAddress at) {
-        Source to = new Source(at), given;
+        Source to = new Source(at, true), given;
+        boolean stays;
         synchronized (this) {
             if (next != null && next.at.equals(at)) {
                 return; // under way
             }
             given = next;
-            next = serving.at.equals(at) ? null : to;
+            stays = serving.at.equals(at);
+            next = stays ? null : to;
         }
         leave(given);
-        log.info("discovery", serving.at.equals(at) ? "stays at " + to : "moves to " + to);
+        log.info("discovery", (stays ? "stays at " : "moves to ") + to);
         dial(to);
     }
 
@@ -124,6 +134,9 @@
         SocketChannel channel = null;
         try {
             channel = SocketChannel.open();
+            synchronized (this) {
+                source.dialled = channel;
+            }
             channel.setOption(StandardSocketOptions.TCP_NODELAY, true);
             channel.configureBlocking(false);
             if (channel.connect(source.at)) {
@@ -153,6 +166,19 @@
         ended((Source) attachment, new Ended(Ended.Reached.DIALLED, String.valueOf(cause.getMessage())));
     }
 
+    /** As {@link #connectionFailed}, for a dial that was through at once, as it may be on one machine. */
+    @Override
+    protected void onAcceptFailed(SelectableChannel channel, Throwable cause) {
+        closeQuietly((SocketChannel) channel);
+        Source of;
+        synchronized (this) {
+            of = serving.dialled == channel ? serving : next != null && next.dialled == channel ? next : null;
+        }
+        if (of != null) { // else it was left meanwhile
+            ended(of, new Ended(Ended.Reached.DIALLED, String.valueOf(cause.getMessage())));
+        }
+    }
+
     @Override
     protected EndPoint newEndPoint(SelectableChannel channel, ManagedSelector selector, SelectionKey key) {
         return new SocketChannelEndPoint((SocketChannel) channel, selector, key, getScheduler());
@@ -160,8 +186,15 @@
 
     @Override
     public synchronized Connection newConnection(SelectableChannel channel, EndPoint endPoint, Object attachment) {
-        return new AgentConnection(endPoint, getExecutor(), this, (Source) attachment,
-                holdsList ? "/catalog/members?watch=1&from=" + version : "/catalog/members", !holdsList);
+        Source source = (Source) attachment;
+        boolean whole = versions.asksWhole(source.told);
+        return new AgentConnection(endPoint, getExecutor(), this, source, whole ? "/catalog/members"
+                : "/catalog/members?watch=1&from=" + versions.version(), whole);
+    }
+
+    /** Now, in ns of no fixed start. */
+    long now() {
+        return nanos.getAsLong();
     }
 
     /** False where discovery has moved on meanwhile. */
@@ -170,7 +203,7 @@
         return isMeant(source);
     }
 
-    /** A line has come, be it a blank one; false where discovery has moved on: then it changes nothing. */
+    /** A line that can be used has come, be it a blank one; false where discovery has moved on: then it changes nothing. */
     boolean speaks(Source source) {
         Source old;
         synchronized (this) {
@@ -189,23 +222,46 @@
         return true;
     }
 
-    /** False where it can't be used; what is older than what is held changes nothing. */
-    synchronized boolean told(HostList list) {
-        if (!list.whole() && !holdsList) {
-            return false;
+    /** Null where the attempt goes on, or why not; what is older than what is held changes nothing. */
+    String told(Source source, HostList list) {
+        if (!list.whole() && holdsNone(source)) {
+            return "changes where no list is held"; // the old address goes on to serve
+        }
+        if (!speaks(source)) {
+            return MOVED_ON;
         }
-        if (!holdsList || list.version() > version) {
-            version = list.version();
-            holdsList = true;
-            if (list.leftOut() != null) {
-                log.warn("spoilt", "discovery lists " + list.leftOut());
+        synchronized (this) {
+            if (!isMeant(source)) { // it moved on between the two
+                return MOVED_ON;
+            }
+            switch (versions.judge(list, source.told, now())) {
+                case CHANGES_OF_NOTHING -> {
+                    return "changes where no list is held";
+                }
+                case PASSED_OVER -> {
+                    if (list.version() < versions.version()) {
+                        log.warn("discovery", "tells version " + list.version() + ", which is older than "
+                                + versions.version() + " and changes nothing");
+                    }
+                }
+                case TAKEN -> {
+                    if (list.leftOut() != null) {
+                        log.warn("spoilt", "discovery lists " + list.leftOut());
+                    }
+                    exchange.listed(list);
+                }
             }
-            exchange.listed(list);
-        } else if (list.version() < version) {
-            log.warn("discovery", "tells version " + list.version() + ", which is older than " + version
-                    + " and changes nothing");
         }
-        return true;
+        return asksAnew(source);
+    }
+
+    private synchronized boolean holdsNone(Source source) {
+        return versions.asksWhole(source.told);
+    }
+
+    /** Null, or why the attempt is to end and the whole list to be asked for: the source counts its versions anew. */
+    synchronized String asksAnew(Source source) {
+        return versions.countsAnew(source.told, now()) ? "tells older versions still; its whole list is asked for" : null;
     }
 
     /** The whole list has come, as asked: go on with the watch at once. */
@@ -227,7 +283,7 @@
             source.wait = Math.min(REDIAL_MOST_MS, 2 * wait);
             log.warn("discovery", "the attempt at " + source + " had "
                     + how.reached().name().toLowerCase(java.util.Locale.ROOT) + " and ended: " + how.why()
-                    + "; next in " + wait + " ms, from version " + version);
+                    + "; next in " + wait + " ms, from version " + versions.version());
         }
         clock.schedule(() -> dial(source), wait, TimeUnit.MILLISECONDS);
     }
--- /dev/null
+++ b/src/main/java/linenring/discovery/Versions.java
@@ -0,0 +1,73 @@
+package linenring.discovery;
+
+import linenring.message.HostList;
+
+/**
+ * Which of the lists that discovery tells count, by their versions. Those of one source only grow, so what is older than
+ * what is held changes nothing. A source that discovery was moved to may count anew: what it tells under lower versions is
+ * passed over while it may only be late, and then its whole list is asked for and taken as it is. Without I/O; times in ns.
+ */
+final class Versions {
+    /** What becomes of a list. */
+    enum Verdict { TAKEN, PASSED_OVER, CHANGES_OF_NOTHING }
+
+    /** What one source has told so far. */
+    static final class Told {
+        private final boolean movedTo;
+        private boolean above, lower, anew; // it has told what we hold, or less; its whole list is asked for
+        private long lowerSince;
+
+        Told(boolean movedTo) {
+            this.movedTo = movedTo;
+        }
+    }
+
+    /** The protocol's: what discovery has to tell counts as told so long after; who is late may be, but not for longer. */
+    private static final long LATE_NS = 6_000_000_000L;
+
+    private long version;
+    private boolean held;
+
+    Versions(HostList known) {
+        if (known != null) {
+            version = known.version();
+            held = true;
+        }
+    }
+
+    /** The one held last; 0 where none is. */
+    long version() {
+        return version;
+    }
+
+    Verdict judge(HostList list, Told source, long now) {
+        if (!list.whole() && (!held || source.anew)) {
+            return Verdict.CHANGES_OF_NOTHING;
+        }
+        // a whole list of the version that is held may name whom a spoilt one left out
+        boolean counts = !held || list.version() > version || list.whole() && (list.version() == version || source.anew);
+        if (counts) {
+            version = list.version();
+            held = true;
+            source.above = true;
+            source.anew = false;
+            return Verdict.TAKEN;
+        }
+        if (list.version() < version && !source.lower) {
+            source.lower = true;
+            source.lowerSince = now;
+        }
+        return Verdict.PASSED_OVER;
+    }
+
+    /** Whether the source is past being late: then its whole list is to be asked for. */
+    boolean countsAnew(Told source, long now) {
+        source.anew |= source.movedTo && source.lower && !source.above && now - source.lowerSince > LATE_NS;
+        return source.anew;
+    }
+
+    /** Whether the whole list is to be asked for, before any watch. */
+    boolean asksWhole(Told source) {
+        return !held || source.anew;
+    }
+}
--- a/src/test/java/linenring/discovery/HostWatchTest.java
+++ b/src/test/java/linenring/discovery/HostWatchTest.java
@@ -19,6 +19,7 @@
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
+import java.util.concurrent.atomic.AtomicLong;
 import linenring.exchange.Exchange;
 import linenring.exchange.Stream;
 import linenring.figures.Names;
@@ -253,4 +254,126 @@
     private static void say(Socket socket, String words) throws Exception {
         socket.getOutputStream().write(words.getBytes(StandardCharsets.US_ASCII));
     }
+
+    /** Whom the settings name may count from one again: what was done there under lower numbers must not be missed for ever. */
+    @Test
+    void aSourceThatCountsAnewIsPassedOverWhileItMayBeLateAndThenItsWholeListIsTaken() throws Exception {
+        AtomicLong nanos = new AtomicLong();
+        QueuedThreadPool threads = new QueuedThreadPool(8, 2);
+        ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler();
+        threads.start();
+        scheduler.start();
+        try (ServerSocket old = agent(); ServerSocket now = agent()) {
+            HostWatch watch = new HostWatch(at(old), new HostList(41, true, List.of()), codec, exchange, log, threads, scheduler,
+                    nanos::get);
+            watch.open();
+            try (Socket served = asked(old, "GET /catalog/members?watch=1&from=41 HTTP/1.1")) {
+                say(served, OK + chunk(list(42, false, "Ready")));
+                until(42);
+                watch.moveTo(at(now));
+                try (Socket moved = asked(now, "GET /catalog/members?watch=1&from=42 HTTP/1.1")) {
+                    say(moved, OK + chunk(list(3, true, "Gone")) + chunk(list(4, false, "Ready")) + chunk("\n"));
+                    assertEquals(-1, served.getInputStream().read()); // all of that is read
+                    awaitLog("tells version 4, which is older than 42");
+                    assertEquals(List.of(), versions());
+                    nanos.set(6_000_000_001L);
+                    say(moved, chunk("\n"));
+                    assertEquals(-1, moved.getInputStream().read());
+                }
+                String body = list(5, true, "Ready");
+                answer(now, "GET /catalog/members HTTP/1.1", "HTTP/1.1 200 OK\r\nContent-Length: " + body.length() + "\r\n\r\n" + body);
+                until(5);
+                answer(now, "GET /catalog/members?watch=1&from=5 HTTP/1.1", OK + chunk(list(6, false, "Gone")));
+                until(6);
+            }
+            watch.stop();
+        } finally {
+            threads.stop();
+            scheduler.stop();
+        }
+    }
+
+    @Test
+    void anOldSourceThatFallsBackIsNeverTakenForAnother() {
+        Versions versions = new Versions(new HostList(41, true, List.of()));
+        Versions.Told source = new Versions.Told(false), late = new Versions.Told(true);
+        assertEquals(Versions.Verdict.PASSED_OVER, versions.judge(new HostList(7, true, List.of()), source, 0));
+        assertFalse(versions.countsAnew(source, Long.MAX_VALUE / 2));
+        assertEquals(Versions.Verdict.PASSED_OVER, versions.judge(new HostList(40, true, List.of()), late, 0));
+        assertEquals(Versions.Verdict.TAKEN, versions.judge(new HostList(42, false, List.of()), late, 1)); // only late
+        assertFalse(versions.countsAnew(late, Long.MAX_VALUE / 2));
+        assertEquals(42, versions.version());
+    }
+
+    /** The last one may have had entries that could not be read, and the version alone does not tell. */
+    @Test
+    void aWholeListOfTheVersionThatIsHeldIsTaken() {
+        HostWatch watch = watch(41);
+        new Agent(watch, "/", false).addInput(OK + chunk(list(41, true, "Ready")) + chunk(list(41, false, "Gone")));
+        assertEquals(List.of(41L), versions());
+    }
+
+    @Test
+    void wordsThatCannotBeReadAreNoReasonToLeaveTheAddressThatServes() throws Exception {
+        QueuedThreadPool threads = new QueuedThreadPool(8, 2);
+        ScheduledExecutorScheduler scheduler = new ScheduledExecutorScheduler();
+        threads.start();
+        scheduler.start();
+        try (ServerSocket old = agent(); ServerSocket wrong = agent()) {
+            HostWatch watch = new HostWatch(at(old), new HostList(41, true, List.of()), codec, exchange, log, threads, scheduler);
+            watch.open();
+            try (Socket served = asked(old, "GET /catalog/members?watch=1&from=41 HTTP/1.1")) {
+                say(served, OK + chunk("\n"));
+                watch.moveTo(at(wrong));
+                try (Socket moved = asked(wrong, "GET /catalog/members?watch=1&from=41 HTTP/1.1")) {
+                    say(moved, OK + chunk("a page of another service\n"));
+                    assertEquals(-1, moved.getInputStream().read());
+                }
+                say(served, chunk(list(42, false, "Ready")));
+                until(42);
+            }
+            watch.stop();
+        } finally {
+            threads.stop();
+            scheduler.stop();
+        }
+    }
+
+    @Test
+    void aLineThatDripsAndNeverEndsIsGivenUp() {
+        AtomicLong nanos = new AtomicLong();
+        HostWatch watch = new HostWatch(new InetSocketAddress("127.0.0.1", 8500), new HostList(41, true, List.of()), codec, exchange,
+                log, Runnable::run, waits, nanos::get);
+        Agent agent = new Agent(watch, "/", false);
+        agent.addInput(OK + chunk("\n") + chunk("{\"vers"));
+        nanos.addAndGet(4_000_000_000L);
+        agent.addInput(chunk("i"));
+        assertTrue(agent.isOpen());
+        nanos.addAndGet(2_000_000_001L);
+        agent.addInput(chunk("o"));
+        assertFalse(agent.isOpen());
+        assertEquals(List.of(20L), waits.ms);
+    }
+
+    /** A dial on one machine may be through at once; then Jetty tells its failure elsewhere. */
+    @Test
+    void aDialThatIsThroughAndCannotBeTakenInIsMadeAgainAndOneThatWasLeftIsNot() throws Exception {
+        HostWatch watch = watch(41);
+        try (ServerSocket agent = agent(); java.nio.channels.SocketChannel other = java.nio.channels.SocketChannel.open(at(agent))) {
+            watch.onAcceptFailed(other, new java.io.IOException("too many open files"));
+            assertEquals(List.of(), waits.ms); // none of its own
+            watch.serving().dialled = other;
+            watch.onAcceptFailed(other, new java.io.IOException("too many open files"));
+            assertEquals(List.of(20L), waits.ms);
+            assertFalse(other.isOpen());
+        }
+    }
+
+    private void awaitLog(String words) {
+        long end = System.nanoTime() + TimeUnit.SECONDS.toNanos(20);
+        while (!logged.toString().contains(words)) {
+            assertTrue(System.nanoTime() < end, words);
+            Thread.onSpinWait();
+        }
+    }
 }
