Signals: SIGHUP is caught before all else, SIGTERM before the first invocation

- A SIGHUP between the start and the watch's opening ended the process (exit 129): the handler was set last.
It is set first now, and what came meanwhile is done once there is a watch.
Where it was ignored at the start, as by nohup, the JVM leaves it so: told.
- A reload that fails is told and ends nothing.
- The front accepted before SIGTERM was handled: one between the two broke off invocations.
It accepts after.

--- /dev/null
+++ b/src/main/java/linenring/command/HangUps.java
@@ -0,0 +1,49 @@
+package linenring.command;
+
+import linenring.log.Log;
+import sun.misc.Signal;
+import sun.misc.SignalHandler;
+
+/**
+ * SIGHUP, from the first moment on: without a handler it ends the process. What comes before there is anything to do is
+ * done once, as soon as there is; then each does it, one at a time.
+ */
+final class HangUps {
+    private Runnable what;
+    private boolean came;
+
+    private HangUps() {
+    }
+
+    /** Catches them from now on. Where whoever started the process had them ignored, the JVM leaves it so: {@code ignored}. */
+    static HangUps caught(Runnable ignored) {
+        HangUps hangUps = new HangUps();
+        SignalHandler before = Signal.handle(new Signal("HUP"), signal -> hangUps.comes());
+        if (before == SignalHandler.SIG_IGN) {
+            ignored.run();
+        }
+        return hangUps;
+    }
+
+    private synchronized void comes() {
+        if (what == null) {
+            came = true;
+        } else {
+            what.run();
+        }
+    }
+
+    /** Does this at each from now on, and at once if one has come already; its faults are told and end nothing. */
+    synchronized void then(Runnable does, Log log) {
+        what = () -> {
+            try {
+                does.run();
+            } catch (RuntimeException e) {
+                log.error("fault", "a reload failed: " + e);
+            }
+        };
+        if (came) {
+            what.run();
+        }
+    }
+}
--- a/src/main/java/linenring/command/Instance.java
+++ b/src/main/java/linenring/command/Instance.java
@@ -29,6 +29,7 @@
     final Assignment told;
     final FrontPlan plan;
     final Log log;
+    private final HangUps hangUps;
     private final Exchange exchange = new Exchange();
     private final HostBook hosts = new HostBook();
     private final QueuedThreadPool threads = new QueuedThreadPool(THREADS, 2);
@@ -39,9 +40,10 @@
     private volatile Front front;
     private final AtomicBoolean ending = new AtomicBoolean();
 
-    Instance(Assignment told, FrontPlan plan, Log log) {
+    Instance(Assignment told, FrontPlan plan, HangUps hangUps, Log log) {
         this.told = told;
         this.plan = plan;
+        this.hangUps = hangUps;
         this.log = log;
         codec = new Codec(told.names());
     }
@@ -64,12 +66,13 @@
         saysServes();
         if (plan != null) { // beside the steward, whose first decisions must not wait for it
             new Thread(() -> {
-                String fault = openFront(null, true);
+                String fault = openFront(null, false);
                 if (fault != null) {
                     System.err.println("linenring: " + fault);
                     System.exit(Serve.CANNOT_START);
                 }
-                onTerm(handover);
+                onTerm(handover); // before the first invocation: till then SIGTERM ends the process, and breaks off none
+                front.accept();
                 if (handover != null) {
                     handover.open();
                 }
@@ -110,7 +113,7 @@
         scheduler.start();
         HostWatch watch = new HostWatch(told.discovery(), known, codec, exchange, log, threads, scheduler);
         watch.open();
-        Serve.onHangUp(() -> Serve.reload(told, AssignmentReader.read(System.getenv()), watch, log)); // before the first PONG
+        hangUps.then(() -> Serve.reload(told, AssignmentReader.read(System.getenv()), watch, log), log); // before the first PONG
     }
 
     void decide() {
--- a/src/main/java/linenring/command/Serve.java
+++ b/src/main/java/linenring/command/Serve.java
@@ -12,7 +12,6 @@
 import linenring.front.settings.FrontPlanReader;
 import linenring.log.JsonSink;
 import linenring.log.Log;
-import sun.misc.Signal;
 
 /** Serves until it is told to end: a steward, and a front beside it where one is asked for. */
 public final class Serve {
@@ -24,6 +23,8 @@
 
     /** With the front's settings or null; returns the exit code where it can't serve, or once it is told to end. */
     public static int run(Path frontFile, boolean json) {
+        boolean[] ignored = {false};
+        HangUps hangUps = HangUps.caught(() -> ignored[0] = true); // before all else: till then one ends the process
         Assignment.Outcome read = AssignmentReader.read(System.getenv());
         Assignment told = read.assignment();
         if (told == null) {
@@ -41,21 +42,14 @@
         }
         PrintStream err = new PrintStream(new FileOutputStream(FileDescriptor.err), true);
         Log log = json ? new Log(new JsonSink(err)) : new Log(err);
-        Instance instance = new Instance(told, plan, log);
+        if (ignored[0]) {
+            log.warn("reload", "SIGHUP does nothing: whoever started the process has it ignored, as nohup does");
+        }
+        Instance instance = new Instance(told, plan, hangUps, log);
         String old = System.getenv("LINENRING_HANDOVER");
         return plan != null && plan.handover() != null && old != null ? instance.takeOver(Path.of(old)) : instance.serve();
     }
 
-    /** Does this at each SIGHUP, which otherwise ends the process; one at a time. */
-    static void onHangUp(Runnable what) {
-        Object turn = new Object();
-        Signal.handle(new Signal("HUP"), signal -> {
-            synchronized (turn) {
-                what.run();
-            }
-        });
-    }
-
     /** Goes on with what is new in the configuration, or with the old one where it is at fault. */
     static void reload(Assignment held, Assignment.Outcome read, HostWatch watch, Log log) {
         if (read.assignment() == null) {
--- a/src/test/java/linenring/command/ServeTest.java
+++ b/src/test/java/linenring/command/ServeTest.java
@@ -8,6 +8,7 @@
 import java.util.Map;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
+import java.util.concurrent.atomic.AtomicInteger;
 import linenring.configuration.AssignmentReader;
 import linenring.log.Log;
 import org.junit.jupiter.api.Test;
@@ -27,7 +28,7 @@
     @Test
     void aHangUpIsActedOnAndEndsNothing() throws Exception {
         CountDownLatch both = new CountDownLatch(2);
-        Serve.onHangUp(both::countDown);
+        HangUps.caught(() -> { }).then(both::countDown, new Log(System.err));
         Signal.raise(new Signal("HUP"));
         for (int i = 0; i < 2000 && both.getCount() > 1; i++) {
             TimeUnit.MILLISECONDS.sleep(10); // signals of one kind that come at once are one
@@ -36,4 +37,42 @@
         Signal.raise(new Signal("HUP"));
         assertTrue(both.await(20, TimeUnit.SECONDS));
     }
+
+    /** One that came while the configuration was read: its file may be newer than what was read of it. */
+    @Test
+    void aHangUpBeforeThereIsAWatchIsActedOnOnceThereIs() throws Exception {
+        HangUps hangUps = HangUps.caught(() -> { });
+        AtomicInteger times = new AtomicInteger();
+        synchronized (hangUps) { // the signal's thread has begun and waits: it comes before the watch, every time
+            Signal.raise(new Signal("HUP"));
+            while (Thread.getAllStackTraces().keySet().stream().noneMatch(t -> t.getName().contains("HUP")
+                    && t.getState() == Thread.State.BLOCKED)) {
+                Thread.onSpinWait();
+            }
+        }
+        while (Thread.getAllStackTraces().keySet().stream().anyMatch(t -> t.getName().contains("HUP"))) {
+            Thread.onSpinWait(); // it has come
+        }
+        hangUps.then(times::incrementAndGet, new Log(System.err));
+        assertEquals(1, times.get());
+    }
+
+    @Test
+    void aReloadThatFailsIsToldAndTheNextOneIsActedOn() throws Exception {
+        ByteArrayOutputStream logged = new ByteArrayOutputStream();
+        HangUps hangUps = HangUps.caught(() -> { });
+        CountDownLatch came = new CountDownLatch(1), again = new CountDownLatch(2);
+        hangUps.then(() -> {
+            came.countDown();
+            again.countDown();
+            throw new IllegalStateException("a fault of the reload");
+        }, new Log(new PrintStream(logged, true)));
+        Signal.raise(new Signal("HUP"));
+        assertTrue(came.await(20, TimeUnit.SECONDS));
+        synchronized (hangUps) { // the first is through
+            assertTrue(logged.toString().contains(" ERROR fault a reload failed: java.lang.IllegalStateException"));
+        }
+        Signal.raise(new Signal("HUP"));
+        assertTrue(again.await(20, TimeUnit.SECONDS));
+    }
 }
