Steward: a stream that fails at writing, closing or joining costs no other proxy anything

Need: the reading for races; a fault in closing a replaced stream came before the new one was taken in, and a joining that failed left its proxy on a stream that nobody answered. Now the new one is taken in first, and whoever can't be is let go and dials again.

--- a/src/main/java/linenring/steward/Books.java
+++ b/src/main/java/linenring/steward/Books.java
@@ -75,10 +75,18 @@
     void joined(int proxy, Stream stream, boolean fresh) {
         Stream old = proxies.get(proxy).stream;
         left(proxy);
+        proxies.get(proxy).joins(stream, fresh, old == stream);
         if (old != null && old != stream) {
-            old.close("has a newer stream");
+            close(old, "has a newer stream");
+        }
+    }
+
+    private void close(Stream stream, String why) {
+        try {
+            stream.close(why);
+        } catch (RuntimeException e) {
+            log.error("fault", "a stream can't be closed: " + e);
         }
-        proxies.get(proxy).joins(stream, fresh, old == stream);
     }
 
     void left(int proxy) {
@@ -258,7 +266,7 @@
             p.next = null;
         } catch (RuntimeException e) {
             log.error("fault", "proxy " + p.id + " can't be written to and is let go: " + e);
-            p.stream.close("can't be written to");
+            close(p.stream, "can't be written to");
         }
     }
 }
--- a/src/main/java/linenring/steward/Steward.java
+++ b/src/main/java/linenring/steward/Steward.java
@@ -84,7 +84,7 @@
 
     @Override
     public void arrived(Stream from, Arrival what) {
-        decide(() -> {
+        boolean taken = decide(() -> {
             if (what instanceof Arrival.Joining j) {
                 joined(from, j);
             } else if (what instanceof Arrival.Applied a) {
@@ -100,6 +100,9 @@
                 balance.traffic(u.proxy(), u.operation(), u.spanMs(), u.total());
             }
         });
+        if (!taken && what instanceof Arrival.Joining) {
+            decide(() -> from.close("can't be taken in")); // it dials again, here or elsewhere, and is not kept waiting
+        }
     }
 
     private void joined(Stream from, Arrival.Joining j) {
--- a/src/test/java/linenring/steward/StewardTest.java
+++ b/src/test/java/linenring/steward/StewardTest.java
@@ -314,4 +314,57 @@
         assertEquals(well.marks, silent.marks); // and no table anew when it speaks
         assertEquals(null, silent.closed);
     }
+
+    @Test
+    void aFaultAtOneEntryOfAListLeavesOutThatEntryAndNobodyGoesForIt() {
+        steward = start(new Log(new PrintStream(logged)));
+        steward.listed(new HostList(1, true, List.of(entry(0, State.READY, Double.NEGATIVE_INFINITY),
+                entry(1, State.READY, Double.NEGATIVE_INFINITY))));
+        exchange.listed(new HostList(2, true, List.of(entry(0, State.READY, Double.NEGATIVE_INFINITY),
+                entry(1, null, 0), entry(2, State.READY, Double.NEGATIVE_INFINITY))));
+        exchange.arrived(proxies[0], new Arrival.Joining(0, 0, 1, true));
+        steward.round(T0 + 10);
+        assertEquals("[s-0, s-1, s-2]", proxies[0].lines.get("order").keySet().toString());
+        assertEquals(1, logged.toString().lines().filter(l -> l.contains(" ERROR fault ")).count());
+    }
+
+    @Test
+    void aProxyThatCannotBeWrittenToKeepsNothingFromTheOthers() {
+        steward = start(new Log(new PrintStream(logged)));
+        steward.listed(new HostList(1, true, List.of(entry(0, State.READY, Double.NEGATIVE_INFINITY))));
+        List<String> closed = new ArrayList<>();
+        Stream broken = new Stream() {
+            @Override
+            public void write(Order order) {
+                throw new IllegalStateException("a fault in writing");
+            }
+
+            @Override
+            public void close(String why) {
+                closed.add(why);
+                throw new IllegalStateException("a fault in closing");
+            }
+        };
+        exchange.arrived(broken, new Arrival.Joining(0, 0, 2, true)); // asked most: written to first
+        exchange.arrived(proxies[1], new Arrival.Joining(1, 0, 1, true));
+        steward.round(T0 + 10);
+        assertEquals("[s-0]", proxies[1].lines.get("order").keySet().toString());
+        assertEquals(List.of("can't be written to"), closed);
+        exchange.arrived(proxies[0], new Arrival.Joining(0, 0, 2, false)); // its old stream can't be closed either
+        exchange.listed(new HostList(2, false, List.of(entry(1, State.READY, Double.NEGATIVE_INFINITY))));
+        for (int i = 1; i < 40; i++) {
+            steward.round(T0 + 100 * i); // and the thread goes on
+        }
+        assertTrue(proxies[0].lines.get("order").containsKey("s-0") && proxies[1].lines.get("order").containsKey("s-1"));
+    }
+
+    @Test
+    void aProxyThatCannotBeTakenInIsLetGoAndDialsAgain() {
+        steward = start(new Log(new PrintStream(logged)));
+        exchange.arrived(proxies[0], new Arrival.Joining(99, 0, 1, true)); // no such proxy: the reader lets none through
+        exchange.arrived(proxies[1], new Arrival.Joining(1, 0, 1, true));
+        steward.round(T0 + 10);
+        assertEquals("can't be taken in", proxies[0].closed);
+        assertEquals(null, proxies[1].closed);
+    }
 }
