Front: no repeat sets out past its window; a session whose dial was given up is closed

Step.Send now says by when it may set out; past that it counts as never sent and is answered at once. - The dial's timer may go off while Jetty has not told of the session yet: it opened later, unknown to the pool, and its SETTINGS went to resized(). It is closed now in either order. - Only an IllegalStateException itself counts as never sent at newStream, none of its kinds (WritePendingException).

--- a/src/main/java/linenring/front/HostLink.java
+++ b/src/main/java/linenring/front/HostLink.java
@@ -31,7 +31,7 @@
     final class Connection implements Session.Listener, Promise<Session> {
         private volatile Session session;
         private volatile int lastProcessed = Integer.MAX_VALUE; // as its GOAWAY says
-        private boolean settled; // opened or failed was told; guarded by the link
+        private boolean settled, failed; // opened or failed was told; guarded by the link
 
         Session session() {
             return session;
@@ -49,6 +49,21 @@
         @Override
         public void succeeded(Session result) {
             session = result; // its SETTINGS say whether it speaks HTTP/2
+            closeIfFailed();
+        }
+
+        /** A dial that was given up may come through all the same, before or after that was told: nobody knows of it. */
+        private boolean closeIfFailed() {
+            Session open = session;
+            boolean given;
+            synchronized (HostLink.this) {
+                given = failed;
+            }
+            if (given && open != null) {
+                open.close(ErrorCode.CANCEL_STREAM_ERROR.code, "no settings",
+                        Callback.from(((HTTP2Session) open).getEndPoint()::close));
+            }
+            return given;
         }
 
         @Override
@@ -61,18 +76,18 @@
                 if (settled) {
                     return;
                 }
-                settled = true;
+                settled = failed = true;
             }
             follow(pool(p -> p.notOpened(clock.getAsDouble())));
-            Session open = session;
-            if (open != null) {
-                open.close(ErrorCode.CANCEL_STREAM_ERROR.code, "no settings", Callback.NOOP);
-            }
+            closeIfFailed();
         }
 
         @Override
         public void onSettings(Session from, SettingsFrame frame) {
             session = from;
+            if (closeIfFailed()) {
+                return;
+            }
             Map<Integer, Integer> told = frame.getSettings();
             int streams = Math.min(streamsMost, told.getOrDefault(SettingsFrame.MAX_CONCURRENT_STREAMS, streamsMost));
             boolean first;
--- a/src/main/java/linenring/front/Invocation.java
+++ b/src/main/java/linenring/front/Invocation.java
@@ -187,7 +187,7 @@
     private final class Try implements Stream.Listener, HostLink.Wants, Promise<Stream> {
         private final int host;
         private final HostLink link;
-        private final double until, sentAt = front.now();
+        private final double by, until, sentAt = front.now();
         private final Scheduler.Task timer;
         private HostLink.Connection on; // null until a stream was granted
         private Stream stream;          // null until the request's head was sent
@@ -206,6 +206,7 @@
         Try(Tries.Step.Send send) {
             host = send.host();
             link = front.link(host);
+            by = send.by();
             until = send.until();
             timer = front.schedule(() -> then(this::timedOut), Math.max(0, until - front.now()));
         }
@@ -223,6 +224,11 @@
                     release();
                     return;
                 }
+                if (front.now() > by) { // it waited too long for a connection
+                    release();
+                    ended(new Attempt(Attempt.Proof.NEVER_SENT, Attempt.Why.UNREACHABLE));
+                    return;
+                }
                 boolean nothingFollows = kept.hasEnded() && again.length == 0 && trailers == null;
                 headSent = true;
                 sentAll = nothingFollows;
@@ -250,7 +256,7 @@
 
         @Override
         public void failed(Throwable x) { // of a full connection nothing was written; else part of it may have been
-            boolean unsent = x instanceof IllegalStateException;
+            boolean unsent = x.getClass() == IllegalStateException.class; // none of its kinds, which a write may throw
             then(() -> {
                 release();
                 ended(unsent ? new Attempt(Attempt.Proof.NEVER_SENT, Attempt.Why.REFUSED)
--- a/src/main/java/linenring/routing/Tries.java
+++ b/src/main/java/linenring/routing/Tries.java
@@ -20,8 +20,11 @@
 
     /** What is to be done next. */
     public sealed interface Step {
-        /** Send it to this host, and give that attempt up at {@code until}. */
-        record Send(int host, double until) implements Step { }
+        /**
+         * Send it to this host by {@code by} or not at all, as a repeat that sets out later may come after the window in
+         * which hosts know it; and give that attempt up at {@code until}.
+         */
+        record Send(int host, double by, double until) implements Step { }
 
         /** Answer now; {@code backIn} is ms, or infinity where no time to come back is known. */
         record GiveUp(Reason reason, double backIn) implements Step { }
@@ -125,7 +128,12 @@
         host = to;
         sentAt = now;
         tried.set(to);
-        return new Step.Send(to, giveUpAt(now, bodyHeld));
+        return new Step.Send(to, sendBy(), giveUpAt(now, bodyHeld));
+    }
+
+    private double sendBy() {
+        return mayHaveRunAt >= 0 && terms.effect() == Effect.FINGERPRINTED
+                ? mayHaveRunSince + terms.window() * (1 - WINDOW_MARGIN) : Double.POSITIVE_INFINITY;
     }
 
     /**
@@ -158,8 +166,7 @@
             return true;
         }
         return terrain.tables().tries(operation) != FurtherTries.ONE_ON_PROOF && repeatable()
-                && (terms.effect() == Effect.IDEMPOTENT
-                        || now <= mayHaveRunSince + terms.window() * (1 - WINDOW_MARGIN));
+                && (terms.effect() == Effect.IDEMPOTENT || now <= sendBy());
     }
 
     private boolean isOpen(int other) {
--- a/src/main/java/linenring/standin/Node.java
+++ b/src/main/java/linenring/standin/Node.java
@@ -9,6 +9,7 @@
 import java.util.Set;
 import java.util.TreeMap;
 import java.util.concurrent.ConcurrentHashMap;
+import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.Executors;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
@@ -86,6 +87,7 @@
     private final AtomicLong sent = new AtomicLong();
     private volatile HttpFields trailers = HttpFields.EMPTY;
     private volatile int streams = 100;
+    private volatile CountDownLatch greets = new CountDownLatch(0);
     private int arrived, running;
 
     public Node() throws IOException {
@@ -125,6 +127,12 @@
         return this;
     }
 
+    /** Says its SETTINGS on connections from now on once it is told to, as a host that is slow to accept. */
+    public Node greetsOnce(CountDownLatch told) {
+        greets = told;
+        return this;
+    }
+
     /** How many of a path it ran. */
     public synchronized int ran(String path) {
         return ran.getOrDefault(path, 0);
@@ -234,11 +242,12 @@
             try (socket) {
                 link = new FrameLink(socket);
                 link.readFully(FrameLink.PREFACE.length);
+                greets.await();
                 link.settings(3, streams);
                 for (FrameLink.Frame f = link.read(); f != null; f = link.read()) {
                     took(f);
                 }
-            } catch (IOException | RuntimeException e) {
+            } catch (IOException | RuntimeException | InterruptedException e) {
                 // the peer's end, or ours
             } finally {
                 connections.remove(this);
--- a/src/test/java/linenring/routing/TriesTest.java
+++ b/src/test/java/linenring/routing/TriesTest.java
@@ -62,6 +62,17 @@
         }
     }
 
+    /** By then it may still wait for a connection: past its window the host would not know it, and book twice. */
+    @Test
+    void aRepeatOfAFingerprintedOneSetsOutInsideItsWindowOrNotAtAll() {
+        Tries t = fleet(FurtherTries.ONE).tries(BOOK, true, 100);
+        assertEquals(Double.POSITIVE_INFINITY, assertInstanceOf(Step.Send.class, t.begin(100, true)).by());
+        assertEquals(100 + 0.8 * 2500, assertInstanceOf(Step.Send.class, t.ended(LOST, 200, true)).by());
+        Tries quote = fleet(FurtherTries.ONE).tries(QUOTE, false, 0);
+        quote.begin(0, true);
+        assertEquals(Double.POSITIVE_INFINITY, assertInstanceOf(Step.Send.class, quote.ended(LOST, 10, true)).by());
+    }
+
     @Test
     void withoutOrdersToTryAgainAProofChangesNothing() {
         Tries t = fleet(FurtherTries.NONE).tries(QUOTE, false, 0);
