Signals: accepting and a SIGTERM come one after the other, at a start and in a hand-over

Cause (read, not seen): Front.accept() calls off a drain. A SIGTERM between the handler's setting and the accepting, or while the old process of a hand-over waits to take back, was undone by it: the process neither served nor ended, as a second SIGTERM changes nothing. The new process of a hand-over accepted before it handled SIGTERM.

--- a/src/main/java/linenring/command/Handover.java
+++ b/src/main/java/linenring/command/Handover.java
@@ -70,8 +70,8 @@
         if (fault != null) {
             instance.log.error("upgrade", "the steward's own address can't be had: " + fault);
         }
-        instance.front().accept();
-        instance.onTerm(this); // a process that takes over has not been told how to end
+        instance.onTerm(this); // a process that takes over has not been told how to end, and must be before it is called
+        instance.accept();
     }
 
     @Override
--- a/src/main/java/linenring/command/Instance.java
+++ b/src/main/java/linenring/command/Instance.java
@@ -4,7 +4,6 @@
 import java.nio.channels.ServerSocketChannel;
 import java.nio.file.Path;
 import java.util.concurrent.TimeUnit;
-import java.util.concurrent.atomic.AtomicBoolean;
 import linenring.configuration.Assignment;
 import linenring.configuration.AssignmentReader;
 import linenring.discovery.HostWatch;
@@ -38,7 +37,7 @@
     private Steward steward;
     private StreamServer streams;
     private volatile Front front;
-    private final AtomicBoolean ending = new AtomicBoolean();
+    private final Ending ending = new Ending();
 
     Instance(Assignment told, FrontPlan plan, HangUps hangUps, Log log) {
         this.told = told;
@@ -72,7 +71,7 @@
                     System.exit(Serve.CANNOT_START);
                 }
                 onTerm(handover); // before the first invocation: till then SIGTERM ends the process, and breaks off none
-                front.accept();
+                accept();
                 if (handover != null) {
                     handover.open();
                 }
@@ -155,18 +154,24 @@
     /** At the first SIGTERM the front drains, and the process ends once it has; further ones change nothing. */
     void onTerm(Handover handover) {
         Signal.handle(new Signal("TERM"), signal -> {
-            if (!ending.compareAndSet(false, true)) {
+            boolean first = ending.begins(() -> {
+                if (handover != null) {
+                    handover.ending();
+                }
+                front.drain();
+                endWhenDrained();
+            });
+            if (!first) {
                 log.info("front", "is told to end again, and drains still");
-                return;
-            }
-            if (handover != null) {
-                handover.ending();
             }
-            front.drain();
-            endWhenDrained();
         });
     }
 
+    /** The front accepts, again or for the first time, unless it drains at a SIGTERM. */
+    void accept() {
+        ending.unlessBegun(front::accept);
+    }
+
     void endWhenDrained() {
         new Thread(() -> {
             try {
