--- a/src/test/java/linenring/steward/ChannelAccountTest.java
+++ b/src/test/java/linenring/steward/ChannelAccountTest.java
@@ -67,10 +67,14 @@
     private int mostWritten, answered;
 
     private static StartFigures figures(int operations, double limit, double grace) {
+        return figures(operations, limit, grace, CAP);
+    }
+
+    private static StartFigures figures(int operations, double limit, double grace, int cap) {
         return new StartFigures(IntStream.rangeClosed(1, operations)
                 .mapToObj(value -> new StartFigures.Operation(1000, value, -1, -1, false, 3)).toList(),
                 new StartFigures.ColdStart(0.2, 18_000),
-                new StartFigures.Channel(1000 * PACE, 4, limit, CAP, 10_000, TRANSIT, 3 * TRANSIT, grace),
+                new StartFigures.Channel(1000 * PACE, 4, limit, cap, 10_000, TRANSIT, 3 * TRANSIT, grace),
                 new StartFigures.Slices(0, false, 0, 0), StartFigures.Measure.SHARE, false, 0, false, 6);
     }
 
@@ -174,6 +178,42 @@
         assertTrue(told.size() > 10);
     }
 
+    /** A release whose hosts are told of one by one; one message to each proxy for each word would pass the cap. */
+    @Test
+    void drainsThatAreToldOfOneByOneKeepTheirGraceUnderTheCapOfMessages() {
+        double grace = 2000;
+        int cap = 20;
+        Books books = new Books(List.of("quote"), 20, new Log(new PrintStream(OutputStream.nullOutputStream())));
+        Balance balance = new Balance(figures(1, 14_100, grace, cap), books);
+        balance.clock(now);
+        balance.listOpens(true);
+        IntStream.range(0, 90).forEach(h -> balance.running(books.listed("s-" + h), h % 3, 0, 1, Double.NEGATIVE_INFINITY));
+        balance.listCloses();
+        for (int p = 0; p < 20; p++) {
+            lines.add(new Line(p));
+            written.add(new ArrayDeque<>());
+            books.joined(p, lines.get(p), true);
+            balance.joined(p, p % 3, 1);
+        }
+        Map<String, Double> told = new TreeMap<>();
+        for (int round = 0; round < 700; round++) { // 35 s
+            now += 50;
+            balance.clock(now);
+            deliver(books, balance);
+            balance.listOpens(false);
+            if (round > 400 && round % 5 == 0 && told.size() < 50) { // each 250 ms, as the list's changes may come
+                balance.stopping(told.size(), told.size() % 3, 0, 1);
+                told.put("s-" + told.size(), now);
+            }
+            balance.listCloses();
+            balance.settle();
+            books.send();
+        }
+        assertTrue(mostWritten <= cap, mostWritten + " messages to one proxy of " + cap);
+        told.forEach((host, at) -> assertTrue(shutAt.getOrDefault(host, Double.POSITIVE_INFINITY) - at <= grace + 300,
+                host + " is out " + (shutAt.get(host) - at) + " ms after the word"));
+    }
+
     /**
      * Most tries fail at a fleet that has just started, and the weights of all its hosts are cut at once. Each line lets its
      * host back too, which the steward that was in charge before may have shut out there.
