Hand-over: an answer that comes at once is not lost; no commit follows a port that was kept

- Upgrades.ask dropped an answer that came before it was waited for, as a refusal does, and waited its whole bound for nothing.
- Where accepting could not be stopped the commit followed all the same, and two processes accepted.
OldSide.failed says what is done instead; SidesTest.
- Whoever came to the socket and could not be named ended the listening at it.
Read; no story of its own.

--- a/src/main/java/linenring/handover/OldSide.java
+++ b/src/main/java/linenring/handover/OldSide.java
@@ -86,6 +86,18 @@
         return isUnderWay() ? fails(reason, now) : List.of();
     }
 
+    /**
+     * An effect could not be carried out: what is done instead of those after it, or nothing where they go on. No commit
+     * follows a port that was not given up, as two processes would accept at it.
+     */
+    public List<Effect> failed(Effect what, String how, double now) {
+        return switch (what) {
+            case SPAWN -> died("it could not be started: " + how, now);
+            case STOP_ACCEPTING -> aborted("this process could not stop accepting: " + how, now);
+            default -> List.of();
+        };
+    }
+
     /** The new process is dead, for certain. */
     public List<Effect> died(String how, double now) {
         switch (state) {
--- a/src/main/java/linenring/handover/Talk.java
+++ b/src/main/java/linenring/handover/Talk.java
@@ -13,7 +13,7 @@
 import linenring.handover.wire.Wire;
 
 /** One end of the Unix-domain socket between two processes: whole messages, in order. */
-final class Talk implements AutoCloseable {
+class Talk implements AutoCloseable {
     private final SocketChannel channel;
 
     Talk(SocketChannel channel) {
--- a/src/main/java/linenring/handover/Upgrades.java
+++ b/src/main/java/linenring/handover/Upgrades.java
@@ -11,8 +11,11 @@
 import java.nio.file.attribute.PosixFilePermissions;
 import java.util.ArrayList;
 import java.util.List;
+import java.util.Optional;
+import java.util.concurrent.BlockingQueue;
 import java.util.concurrent.ExecutorService;
 import java.util.concurrent.Executors;
+import java.util.concurrent.LinkedBlockingQueue;
 import java.util.concurrent.ScheduledExecutorService;
 import java.util.concurrent.TimeUnit;
 import linenring.handover.wire.Wire;
@@ -99,20 +102,27 @@
     private void listen() {
         try {
             while (true) {
-                SocketChannel channel = socket.accept();
-                Talk with = new Talk(channel);
-                if (with.isOurs()) {
-                    with.hear(said -> events.execute(() -> heard(with, said)), why -> events.execute(() -> ended(with, why)));
-                } else {
-                    log.warn("upgrade", "somebody of another user is turned away");
-                    with.close();
-                }
+                begin(new Talk(socket.accept()));
             }
         } catch (IOException e) {
             // closed: retired
         }
     }
 
+    /** Who ends at this very moment ends nothing but this. */
+    private void begin(Talk with) {
+        try {
+            if (with.isOurs()) {
+                with.hear(said -> events.execute(() -> heard(with, said)), why -> events.execute(() -> ended(with, why)));
+                return;
+            }
+            log.warn("upgrade", "somebody of another user is turned away");
+        } catch (IOException | RuntimeException e) {
+            log.warn("upgrade", "who it was that came can't be told: " + e.getMessage());
+        }
+        with.close();
+    }
+
     /** As {@code linenring upgrade} does it; for a signal. */
     public void ask() {
         events.execute(() -> does(side.ask(now())));
@@ -167,8 +177,10 @@
             } catch (IOException | RuntimeException x) {
                 log.error("upgrade", e.name().toLowerCase(java.util.Locale.ROOT).replace('_', ' ') + " failed: "
                         + x.getMessage());
-                if (e == OldSide.Effect.SPAWN) {
-                    does(side.died("it could not be started: " + x.getMessage(), now()));
+                List<OldSide.Effect> instead = side.failed(e, String.valueOf(x.getMessage()), now());
+                if (!instead.isEmpty()) {
+                    does(instead);
+                    return;
                 }
             }
         }
@@ -235,13 +247,15 @@
 
     /** Asks the process that serves for an upgrade, and waits for its end; null where nobody answers. */
     public static Wire.Ended ask(Path dir, long waitMs) throws IOException, InterruptedException {
-        java.util.concurrent.SynchronousQueue<java.util.Optional<Wire.Ended>> answer =
-                new java.util.concurrent.SynchronousQueue<>();
-        try (Talk talk = Talk.to(dir.resolve(SOCKET))) {
-            talk.hear(said -> answer.offer(java.util.Optional.of(said.getEnded())),
-                    why -> answer.offer(java.util.Optional.empty()));
+        return ask(Talk.to(dir.resolve(SOCKET)), waitMs);
+    }
+
+    static Wire.Ended ask(Talk with, long waitMs) throws InterruptedException {
+        BlockingQueue<Optional<Wire.Ended>> answer = new LinkedBlockingQueue<>(); // it may come before it is waited for
+        try (Talk talk = with) {
+            talk.hear(said -> answer.add(Optional.of(said.getEnded())), why -> answer.add(Optional.empty()));
             talk.say(Wire.Said.newBuilder().setAsk(Wire.Ask.getDefaultInstance()).build());
-            java.util.Optional<Wire.Ended> end = answer.poll(waitMs, TimeUnit.MILLISECONDS);
+            Optional<Wire.Ended> end = answer.poll(waitMs, TimeUnit.MILLISECONDS);
             return end == null ? null : end.orElse(null);
         }
     }
--- a/src/test/java/linenring/handover/SidesTest.java
+++ b/src/test/java/linenring/handover/SidesTest.java
@@ -207,6 +207,20 @@
         assertEquals(List.of(), old.died("later", 11_000));
     }
 
+    @Test
+    void aPortThatCannotBeGivenUpIsNeverCommittedAndIsTakenBackOnceTheNewProcessIsDead() {
+        OldSide old = new OldSide(BOUNDS);
+        old.ask(0);
+        old.hello(1, 0);
+        old.ready(0); // stop accepting, then send the commit
+        assertEquals(List.of(OldSide.Effect.KILL), old.failed(OldSide.Effect.STOP_ACCEPTING, "a fault", 0));
+        assertEquals(List.of(OldSide.Effect.ACCEPT, OldSide.Effect.TELL_FAILED), old.died("killed", 0));
+        assertEquals("this process could not stop accepting: a fault", old.why());
+        old.ask(0);
+        assertEquals(List.of(OldSide.Effect.TELL_FAILED), old.failed(OldSide.Effect.SPAWN, "no such file", 0));
+        assertEquals(List.of(), old.failed(OldSide.Effect.SEND_RETIRE, "gone", 0)); // what comes after it goes on
+    }
+
     @Test
     void whatTakesTooLongIsKilledAndThePortIsTakenBackOnlyOnceItIsDead() {
         OldSide old = new OldSide(new OldSide.Bounds(20_000, 30_000, 5000, 10_000));
