--- a/src/main/java/linenring/plan/Balance.java
+++ b/src/main/java/linenring/plan/Balance.java
@@ -93,7 +93,7 @@
     private final List<Zone> zones = new ArrayList<>();
     private final List<double[]> metBy = new ArrayList<>(); // sums of the warm hosts that are in, by kind
     private final List<BooleanSupplier> rules;
-    private double now, provenAt, fadedAt, roundTrip, alarmAt = -1, askAt, stormUntil = -1, metAt, drainedAt;
+    private double now, provenAt, fadedAt, roundTrip, alarmAt = -1, askAt, stormUntil = -1, metAt;
     private boolean wholeList, drainsWait, bindsWait, rush, stale = true; // stale: sums or hosts have changed
     private double waiting, reckonedAt, usualLate, mostLate, usualBad, ended, bad, rate;
     private int mark, lastNumber, full; // full: number of full tables, which come before all others
@@ -153,7 +153,10 @@
     }
 
     private BooleanSupplier each(Predicate<Host> when, Consumer<Host> then) {
-        return () -> hosts.stream().filter(when).peek(then).count() > 0; // of what is filtered, all pass by
+        return () -> hosts.stream().filter(when).mapToInt(h -> {
+            then.accept(h);
+            return 1;
+        }).sum() > 0;
     }
 
     // ---- what is seen
@@ -450,20 +453,19 @@
         return all.length > 0 ? all[(int) (all.length * part)] : 0;
     }
 
-    /** Together, as each message has a head: a quarter of the queue at least, more where the cap is short. */
-    private boolean withdrawTold() {
+    private boolean withdrawTold() { // together, as each message has a head, a quarter of the queue at least
         List<Host> told = hosts.stream().filter(h -> h.told && !h.out).toList();
         List<Proxy> concerned = told.isEmpty() ? List.of() : joined.stream()
                 .filter(p -> told.stream().anyMatch(h -> holds(p, h))).toList();
         double room = mostWaiting - waiting, need = concerned.stream()
                 .mapToDouble(p -> cost(p, told.stream().filter(h -> holds(p, h)).count())).sum();
         drainsWait = !told.isEmpty() && (bindsWait || need > room && room < 0.25 * mostWaiting
-                || !mayWrite(concerned, 0, DRAINS) // nothing else is written meanwhile
-                || now - drainedAt < Math.min(grace / 2, messagesOver / (0.6 * messagesMost))
-                && concerned.stream().anyMatch(p -> messagesMost > 0 && capUsed(p) > LINES * messagesMost));
+                || !mayWrite(concerned, 0, DRAINS)); // nothing else is written meanwhile
         return !drainsWait && told.stream().filter(h -> waiting + holders(h).stream()
-                .mapToDouble(p -> cost(p, 1)).sum() <= mostWaiting)
-                .mapToInt(h -> withdraw(h, true)).sum() > 0;
+                .mapToDouble(p -> cost(p, 1)).sum() <= mostWaiting).mapToInt(h -> {
+                    withdraw(h, true);
+                    return 1;
+                }).sum() > 0;
     }
 
     private List<Proxy> holders(Host h) { // no others get a message
@@ -474,14 +476,12 @@
         return sliced || Arrays.stream(p.bound).anyMatch(t -> t == null || laid(h, t) > 0);
     }
 
-    private int withdraw(Host h, boolean out) {
+    private void withdraw(Host h, boolean out) {
         h.out = out;
-        drainedAt = h.told ? now : drainedAt;
         stale = true;
         orders.withdraw(h.id, out);
         holders(h).forEach(p -> order(p, 1));
         tablesWith(h).forEach(t -> t.sentAt = now);
-        return 1;
     }
 
     private boolean newcomer(Proxy p) {
