--- a/src/test/java/linenring/steward/ChannelAccountTest.java
+++ b/src/test/java/linenring/steward/ChannelAccountTest.java
@@ -145,16 +145,7 @@
         StartFigures figures = figures(1, 14_100, grace);
         Books books = new Books(List.of("quote"), 160, new Log(new PrintStream(OutputStream.nullOutputStream())));
         Balance balance = new Balance(figures, books);
-        balance.clock(now);
-        balance.listOpens(true);
-        IntStream.range(0, 60).forEach(h -> balance.running(books.listed("s-" + h), h % 3, 0, 1, Double.NEGATIVE_INFINITY));
-        balance.listCloses();
-        for (int p = 0; p < 160; p++) {
-            lines.add(new Line(p));
-            written.add(new ArrayDeque<>());
-            books.joined(p, lines.get(p), true);
-            balance.joined(p, p % 3, 1);
-        }
+        begin(books, balance, 60, Double.NEGATIVE_INFINITY, 160, true);
         Map<String, Double> told = new TreeMap<>();
         for (int round = 0; round < 700; round++) { // 35 s
             now += 50;
@@ -185,16 +176,7 @@
         int cap = 20;
         Books books = new Books(List.of("quote"), 20, new Log(new PrintStream(OutputStream.nullOutputStream())));
         Balance balance = new Balance(figures(1, 14_100, grace, cap), books);
-        balance.clock(now);
-        balance.listOpens(true);
-        IntStream.range(0, 90).forEach(h -> balance.running(books.listed("s-" + h), h % 3, 0, 1, Double.NEGATIVE_INFINITY));
-        balance.listCloses();
-        for (int p = 0; p < 20; p++) {
-            lines.add(new Line(p));
-            written.add(new ArrayDeque<>());
-            books.joined(p, lines.get(p), true);
-            balance.joined(p, p % 3, 1);
-        }
+        begin(books, balance, 90, Double.NEGATIVE_INFINITY, 20, true);
         Map<String, Double> told = new TreeMap<>();
         for (int round = 0; round < 700; round++) { // 35 s
             now += 50;
@@ -224,16 +206,7 @@
         double limit = 22.0 * 240; // most of its proxies are with others
         Books books = new Books(List.of("quote"), count, new Log(new PrintStream(OutputStream.nullOutputStream())));
         Balance balance = new Balance(figures(1, limit, 16_000), books);
-        balance.clock(now);
-        balance.listOpens(true);
-        IntStream.range(0, hosts).forEach(h -> balance.running(books.listed("s-" + h), h % 3, 0, 1, now));
-        balance.listCloses();
-        for (int p = 0; p < count; p++) {
-            lines.add(new Line(p));
-            written.add(new ArrayDeque<>());
-            books.joined(p, lines.get(p), false);
-            balance.joined(p, p % 3, 1);
-        }
+        begin(books, balance, hosts, now, count, false);
         for (int round = 0; round < 400; round++) { // 20 s
             now += 50;
             balance.clock(now);
@@ -248,6 +221,20 @@
         assertTrue(mostWaiting > 0.7 * limit, "the cut came in one: " + mostWaiting);
     }
 
+    /** So many hosts are listed, started then, and so many proxies join; not fresh: from another steward. */
+    private void begin(Books books, Balance balance, int hosts, double started, int proxies, boolean fresh) {
+        balance.clock(now);
+        balance.listOpens(true);
+        IntStream.range(0, hosts).forEach(h -> balance.running(books.listed("s-" + h), h % 3, 0, 1, started));
+        balance.listCloses();
+        for (int p = 0; p < proxies; p++) {
+            lines.add(new Line(p));
+            written.add(new ArrayDeque<>());
+            books.joined(p, lines.get(p), fresh);
+            balance.joined(p, p % 3, 1);
+        }
+    }
+
     private void deliver(Books books, Balance balance) {
         channel.removeIf(s -> s.leaves() <= now && travelling.add(s));
         List<Sent> there = travelling.stream().filter(s -> s.leaves() + TRANSIT <= now).toList();
