--- a/src/main/java/linenring/planner/Planner.java
+++ b/src/main/java/linenring/planner/Planner.java
@@ -1,20 +1,19 @@
 package linenring.planner;
 
-import java.util.ArrayDeque;
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.Collection;
 import java.util.Comparator;
-import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Set;
 import java.util.function.BooleanSupplier;
 import java.util.function.Consumer;
 import java.util.function.Predicate;
 import java.util.function.ToDoubleFunction;
+import java.util.stream.DoubleStream;
 import java.util.stream.IntStream;
 import java.util.stream.Stream;
 import linenring.planner.Commands.RetryPolicy;
+import linenring.planner.PlannerSettings.Channel;
 import linenring.planner.PlannerSettings.Measure;
 import linenring.planner.PlannerSettings.Operation;
 
@@ -28,130 +27,75 @@
  * ledger; 5 parts of tables for a slow channel and behind a cut; 6 start-over (owners of slices included).
  */
 public final class Planner {
-    private static final int ENDED = 0, BAD = 1, SPENT = 2;
     private static final double LINES = 0.5, URGENT = 0.85, DRAINS = 1; // of the queue; it holds drains twice
 
-    private static final class Host {
-        int id, zone, kind;
-        double weight = 1, started = Double.NEGATIVE_INFINITY;
-        boolean running, told, inList;  // listed ready; told it drains or is gone; in the list being read
-        boolean ejected, unhealthy;              // shut out at the proxies; to be shut out for its health
-        double retryAt, probationSince = -1, restUntil; // next trial; start of its step; no judging of lateness
-        int consecutiveFailures, part = -1;         // failed trials in a row; part that it is dealt to, or -1
-        double share = 1, bears = 1;    // part of its weight that health allows, and its end after a trial
-        double[] outcomes = new double[3];   // late sums: ENDED, BAD, SPENT
-    }
-
-    private static final class Zone {
-        final double[] near = new double[3], far = new double[3]; // what its proxies met there and elsewhere
-        double cutUntil;                // till then they keep to it
-    }
-
-    /** What one proxy was sent at one time, and when it leaves the channel at its stated pace. */
-    private static final class Message {
-        int mark;
-        double at, lines, leavesBy, slow = 1; // by how much what was sent before it took longer
-        boolean left, lost;             // it is out of the channel; its stream has ended
-    }
-
-    private static final class Proxy {
-        int id, zone;
-        Table[] bound = {};             // what it is bound to, by shared table; null for none
-        final double[] asked = new double[Integer.SIZE]; // invocations a second, by operation
-        double usual, fresh, unansweredLines;       // asked a second, about; lines of this reply; lines not answered yet
-        final ArrayDeque<Message> unanswered = new ArrayDeque<>();
-        final ArrayDeque<Double> written = new ArrayDeque<>(); // times of the messages that the cap counts
-    }
-
-    /** A shared table, for the operations open to the same hosts. */
-    private static final class Table {
-        int operations, homeZone;       // homeZone: that of the proxies and hosts it is for, or -1
-        int number, length, base;       // base: index of the full table that it stands for, or its own
-        int part = -1, span;            // the first of the parts that it is made of, and how many; or -1
-        List<Host> members;             // the hosts that may be in it
-        final Set<Proxy> users = new LinkedHashSet<>();
-        double[] laid = {};             // weight by host, as last sent
-        double load, sentAt = -1e9;     // what all whom it may be for are asked; when it was last written
-        Host owner;                     // slices: the host of its one line
-        double weightListed, weightIn, warmIn, ableIn, ownerless; // of its open hosts; since when unowned
-        final double[] admissionRatio = new double[Integer.SIZE]; // by operation
-        RetryPolicy tries;
-    }
-
     private final Commands commands;
-    private final Operation[] operations;
-    private final Measure measure;
-    private final double pace, perMessage, mostWaiting, messagesOver, transitMost, coldShare, warmAfter;
-    private final double grace, askEvery, ownerAfter; // ownerAfter: no write in a former owner's hands; or -1
-    private final int messagesMost, standing;
-    private final boolean goneNeedNotStop, sliced;
-    private final List<Host> hosts = new ArrayList<>();
-    private final List<Proxy> proxies = new ArrayList<>();
-    private final List<Proxy> joined = new ArrayList<>();
-    private final List<Message> inChannel = new ArrayList<>(); // in the order in which they were sent
-    private final List<Table> tables = new ArrayList<>();
-    private final List<Zone> zones = new ArrayList<>();
-    private final List<double[]> outcomesByKind = new ArrayList<>(); // sums of the warm hosts that are in, by kind
+    private final PlannerSettings settings;
+    private final Channel channel;
+    private final List<Operation> operations;
+    private final double pace, perMessage, warmAfter;
+    private final double askEvery, ownerAfter; // ownerAfter: no write in a former owner's hands; or -1
+    private final boolean sliced;
+    private final Fleet fleet = new Fleet();
+    private final List<Host> hosts = fleet.hosts;
+    private final List<Proxy> joined = fleet.joined;
+    private final List<Zone> zones = fleet.zones;
+    private final TableRegistry registry = new TableRegistry(hosts);
+    private final List<Table> tables = registry.tables;
+    private final ChannelLedger ledger;
     private final List<BooleanSupplier> rules;
-    private double now, provenAt, fadedAt, roundTrip, timerAt = -1, askAt, retryStormUntil = -1, firstClockAt, drainedAt;
+    private double now, fadedAt, roundTrip, timerAt = -1, askAt, retryStormUntil = -1, firstClockAt, drainedAt;
     private boolean wholeList, drainsWait, bindsWait, joinSurge, stale = true; // stale: sums or hosts have changed
-    private double waiting, reckonedAt, usualLate, mostLate, usualBad, ended, bad, rate;
-    private int mark, lastNumber, full; // full: number of full tables, which come before all others
-    private int parts, span;            // parts that hosts are dealt to; of a table, or 0 for full tables
+    private double reckonedAt, usualLate, mostLate, usualBad, ended, failed, rate;
+    private int mark, full; // full: number of full tables, which come before all others
+    private int parts, span; // parts that hosts are dealt to; of a table, or 0 for full tables
     private double admissionRatio = 1, admissionAt, forgetAt = Double.POSITIVE_INFINITY;
     private double objective = 1000, quickest = 0.2, lag; // until the first sums
-    private final double[] operationAdmission = IntStream.range(0, Integer.SIZE).mapToDouble(k -> 1).toArray();
+    private final double[] operationAdmission = new double[Integer.SIZE];
 
     public Planner(PlannerSettings start, Commands commands) {
         this.commands = commands;
-        operations = start.operations().toArray(new Operation[0]);
-        measure = start.measure();
-        pace = start.channel().pace() / 1000;
-        perMessage = start.channel().perMessage() + 1; // and one for the barrier request
-        mostWaiting = start.channel().mostWaiting();
-        messagesMost = start.channel().messagesMost();
-        messagesOver = start.channel().messagesOver();
-        standing = Math.max(2, start.standing());
-        transitMost = start.channel().transitMost();
-        grace = start.channel().grace();
-        roundTrip = 2 * start.channel().transit();
-        coldShare = start.cold().startsAt();
+        settings = start;
+        channel = start.channel();
+        operations = start.operations();
+        pace = channel.linesPerMs();
+        perMessage = channel.messageCost();
+        ledger = new ChannelLedger(channel, 5 * channel.mostWaiting() / pace); // as slow as a channel gets
+        roundTrip = 2 * channel.transit();
         warmAfter = start.cold().warmAfter();
-        goneNeedNotStop = start.goneNeedNotStop();
         askEvery = start.askListWithin() / 3; // two calls may fail
         askAt = start.listMustBeAsked() ? 0 : Double.POSITIVE_INFINITY;
         sliced = start.slices().count() > 0;
-        ownerAfter = !start.slices().singleOwner() ? -1
-                : start.slices().lease() + start.slices().lingers() + start.channel().grace();
-        for (int k = 0; k < operations.length && !sliced; k++) {
+        ownerAfter = start.slices().singleOwner() ? start.slices().writesEndWithin() + channel.grace() : -1;
+        Arrays.fill(operationAdmission, 1);
+        for (int k = 0; k < operations.size() && !sliced; k++) {
             addTablesFor(k);
         }
         full = tables.size();
-        rules = List.of(this::senseCut, this::dealParts, () -> bindProxies(true), this::withdrawTold,
+        rules = List.of(
+                this::senseCut,
+                this::dealParts,
+                () -> bindProxies(true),
+                this::withdrawTold,
                 each(this::fails, this::markUnhealthy),
                 each(this::isSlow, h -> setShare(h, 0.5 * h.share)),
-                each(this::isOfSlowKind, h -> h.share = h.bears = 0.5),
+                each(this::isOfSlowKind, h -> h.share = h.shareLimit = 0.5),
                 each(this::wasSlow, h -> setShare(h, Math.min(1, 2 * h.share))),
-                each(h -> h.running && h.unhealthy && !h.ejected && mayTrouble(h) && spared(h),
-                        h -> withdraw(h, true)),
-                each(h -> h.unhealthy && h.running && now >= h.retryAt,
-                        h -> startProbation(h, h.bears < 1 ? h.bears : 0.15)),
+                each(this::mustEject, h -> withdraw(h, true)),
+                each(this::mayRetry, h -> startProbation(h, h.shareLimit < 1 ? h.shareLimit : 0.15)),
                 each(this::passesProbation, this::growShare),
                 each(h -> h.unhealthy && h.ejected && isLast(h), h -> startProbation(h, 1)),
-                each(h -> h.running && !h.ejected && heldBackInRetryStorm(h) && !tablesWith(h).isEmpty()
-                        && mayTrouble(h),
-                        h -> withdraw(h, true)),
-                this::cutRestarted, this::placeSlices, this::sendSubUpdate,
+                each(this::mustWaitOutside, h -> withdraw(h, true)),
+                this::cutRestarted,
+                this::placeSlices,
+                this::sendSubUpdate,
                 () -> bindProxies(false),
                 each(h -> backIn(h) && mayTrouble(h), h -> withdraw(h, false)),
                 this::setAdmission);
     }
 
     private BooleanSupplier each(Predicate<Host> when, Consumer<Host> then) {
-        return () -> hosts.stream().filter(when).mapToInt(h -> {
-            then.accept(h);
-            return 1;
-        }).sum() > 0;
+        return () -> fleet.forEachHost(when, then);
     }
 
     // ---- what is seen
@@ -159,15 +103,19 @@
     /** Sums fade by half in 1.5 s, or in the span that they come to cover: about as late as they come. */
     public void clock(double at) {
         now = at;
-        firstClockAt = retryStormUntil < 0 ? now : firstClockAt; // a fresh start knows nothing: in 4 s the first sums come
-        retryStormUntil = retryStormUntil < 0 ? now + 4000 : retryStormUntil;
+        if (retryStormUntil < 0) {
+            firstClockAt = now;
+            retryStormUntil = now + 4000; // a fresh start knows nothing: in 4 s the first sums come
+        }
         if (now - fadedAt >= 100) { // no finer than the alarms
             double keep = Math.pow(0.5, (now - fadedAt) / Math.max(1500, lag));
             fadedAt = now;
-            reckonChannel();
+            ledger.update(now);
             hosts.forEach(h -> fade(h, keep));
-            zones.stream().flatMap(z -> Stream.of(z.near, z.far))
-                    .forEach(outcomes -> Arrays.setAll(outcomes, i -> outcomes[i] * keep));
+            for (Zone z : zones) {
+                z.near.scale(keep);
+                z.far.scale(keep);
+            }
         }
     }
 
@@ -196,7 +144,7 @@
         Host h = listed(id, zone, kind, weight);
         if (!h.running || started > h.started) { // a new process: what was seen of the old one tells nothing
             h.unhealthy = false;
-            h.share = h.bears = 1;
+            h.share = h.shareLimit = 1;
             h.probationSince = -1;
             fade(h, 0);
         }
@@ -214,16 +162,16 @@
     }
 
     public void hostRemoved(int id) {
-        Host h = host(id);
+        Host h = fleet.host(id);
         h.inList = true;
-        if (!goneNeedNotStop || !h.running) {
+        if (!settings.goneNeedNotStop() || !h.running) {
             drop(h);
         }
     }
 
     private void drop(Host h) {
         h.running = false;
-        h.ejected &= joined.stream().noneMatch(this::newcomer); // not there when it was shut out for its health
+        h.ejected &= joined.stream().noneMatch(Proxy::isNewcomer); // not there when it was shut out for its health
         h.told = stale = true;
     }
 
@@ -233,183 +181,101 @@
 
     public void joined(int id, int zone, double usual) {
         lost(id);
-        Proxy p = proxy(id);
+        Proxy p = fleet.proxy(id);
         p.zone = zone;
-        p.usual = usual;
+        p.usualRate = usual;
         p.bound = new Table[full];
-        joined.add((int) joined.stream().takeWhile(o -> o.usual >= usual).count(), p); // asked most: first
+        fleet.join(p);
     }
 
-    public void lost(int id) { // guards against answers that cannot come: its windows are free at once,
-        Proxy p = proxy(id);   // though what is on its way to it is still in the channel
-        p.unanswered.forEach(m -> m.lost = true);
-        p.unanswered.clear();
-        IntStream.range(0, p.bound.length).forEach(b -> put(p, b, null));
-        p.fresh = p.unansweredLines = 0;
+    /** Guards against answers that cannot come: its windows are free at once; what is on its way is in the channel still. */
+    public void lost(int id) {
+        Proxy p = fleet.proxy(id);
+        p.disconnect();
         joined.remove(p);
     }
 
     public void barrierAcknowledged(int id, int answered, double tookMs) {
-        Proxy p = proxy(id);
-        if (p.unanswered.stream().anyMatch(m -> m.mark == answered)) {
-            Message m;
-            do { // what was sent to it before is applied too
-                m = p.unanswered.poll();
-                p.unansweredLines -= m.lines;
-                m.left = true;
-            } while (m.mark != answered);
-            provenAt = Math.max(provenAt, m.at);
-            double shown = Math.max(1, tookMs / (m.leavesBy - m.at + transitMost)), since = m.at;
-            inChannel.stream().filter(o -> o.at >= since).forEach(o -> o.slow = shown);
+        SentMessage m = fleet.proxy(id).acknowledge(answered); // what was sent to it before is applied too
+        if (m != null) {
+            ledger.acknowledged(m, tookMs);
             roundTrip += 0.2 * (tookMs - roundTrip); // smoothed over about the last five answers
-            reckonChannel();
+            ledger.update(now);
         }
     }
 
-    /**
-     * A message waits until its proxy answers it or a later one, and counts until all older ones have left: in
-     * the room of lost ones it may overtake them. Where no answer comes it has left once the channel had time
-     * for all ahead of it, as slow as it last was, and its stream ended or a later message was answered.
-     */
-    private void reckonChannel() {
-        double slowest = 5 * mostWaiting / pace; // as slow as a channel gets, whatever an answer tells
-        inChannel.removeIf(m -> !m.left && now > m.at + transitMost + (m.lost || m.at < provenAt
-                ? Math.min(slowest, m.slow * (m.leavesBy - m.at)) : slowest));
-        double first = inChannel.stream().filter(m -> !m.left && !m.lost).mapToDouble(m -> m.at)
-                .findFirst().orElse(now);
-        inChannel.removeIf(m -> m.left && m.at <= first);
-        waiting = inChannel.stream().mapToDouble(m -> m.lines).sum();
-    }
-
     public void hostStatistics(int id, int zone, int total, int bad, double meanMs, double span) {
-        Host h = host(id);
+        Host h = fleet.host(id);
         lag += 0.05 * (span - lag); // over about the last 20 sums
-        Zone from = zone(zone);
+        Zone from = fleet.zone(zone);
         boolean near = zone == h.zone, counts = near || now >= from.cutUntil; // a cut: they tell nothing
-        double[] sum = {total, bad, (total - bad) * meanMs}; // ENDED, BAD, SPENT
-        for (double[] outcomes : List.of(near ? from.near : from.far, counts ? h.outcomes : new double[3])) {
-            Arrays.setAll(outcomes, i -> outcomes[i] + sum[i]);
+        double spent = (total - bad) * meanMs;
+        (near ? from.near : from.far).add(total, bad, spent);
+        if (counts) {
+            h.outcomes.add(total, bad, spent);
         }
         stale = true;
     }
 
     public void requestRate(int id, int operation, double span, int total) {
-        double[] asked = proxy(id).asked;
+        double[] asked = fleet.proxy(id).requestRate;
         asked[operation] += 0.3 * (1000 * total / Math.max(1, span) - asked[operation]); // 3 reports
     }
 
     public void charge(int slice, boolean given) {
-        Table t = sliceTable(slice);
+        Table t = registry.ofSlice(slice);
         t.owner = null;
-        t.ownerless = given ? now : Double.POSITIVE_INFINITY; // another steward's owner may still be writing
-        Arrays.fill(t.laid, t.length = 0);
+        t.ownerlessSince = given ? now : Double.POSITIVE_INFINITY; // another steward's owner may still be writing
+        t.clear();
     }
 
     public void held(int slice, int id, double weight) {
-        sliceTable(slice).owner = host(id);
-        setLaid(host(id), sliceTable(slice), weight);
-    }
-
-    private Host host(int id) {
-        for (; hosts.size() <= id; hosts.get(hosts.size() - 1).id = hosts.size() - 1) {
-            hosts.add(new Host());
-        }
-        return hosts.get(id);
+        registry.ofSlice(slice).owner = fleet.host(id);
+        registry.ofSlice(slice).setWeight(fleet.host(id), weight);
     }
 
     private Host listed(int id, int zone, int kind, double weight) {
-        Host h = host(id);
+        Host h = fleet.host(id);
         h.inList = true;
         stale = true;
         h.zone = zone;
         h.kind = kind;
-        Stream.generate(() -> new double[3]).limit(Math.max(0, kind + 1 - outcomesByKind.size())).forEach(outcomesByKind::add);
         h.weight = weight > 0 ? weight : 1;
         return h;
     }
 
-    private Zone zone(int id) {
-        Stream.generate(Zone::new).limit(Math.max(0, id + 1 - zones.size())).forEach(zones::add);
-        return zones.get(id);
-    }
-
-    private Proxy proxy(int id) {
-        for (; proxies.size() <= id; proxies.get(proxies.size() - 1).id = proxies.size() - 1) {
-            proxies.add(new Proxy());
-        }
-        return proxies.get(id);
-    }
-
-    private Table addTable(int mask, int homeZone, int number) {
-        Table t = new Table();
-        t.base = tables.size();
-        t.members = hosts;
-        t.operations = mask;
-        t.homeZone = homeZone;
-        t.number = sliced ? number : (lastNumber = lastNumber % 65534 + 1);
-        tables.add(t);
-        return t;
-    }
-
     private void addTablesFor(int k) { // one for all open to the same hosts, and for each zone if so confined
-        int alike = IntStream.range(0, operations.length).filter(j -> operations[j].openTo(operations[k]))
-                .map(j -> 1 << j).sum();
-        boolean home = operations[k].homeZoneOnly();
-        for (int z = 0; z < (home ? operations[k].zoneCount() : 1) && alike >> k << k == alike; z++) {
-            addTable(Integer.bitCount(alike) == operations.length ? 0 : alike, home ? z : -1, 0);
+        int alike = settings.alike(k);
+        boolean home = operations.get(k).homeZoneOnly();
+        for (int z = 0; z < (home ? operations.get(k).zoneCount() : 1) && alike >> k << k == alike; z++) {
+            registry.add(Integer.bitCount(alike) == operations.size() ? 0 : alike, home ? z : -1);
         }
     }
 
-    private Table sliceTable(int slice) {
-        return tables.stream().filter(t -> t.number == slice).findFirst()
-                .orElseGet(() -> addTable(0, -1, slice));
-    }
-
     private Collection<Proxy> users(Table t) {
         return sliced ? joined : t.users;
     }
 
-    private void put(Proxy p, int base, Table t) {
-        Stream.ofNullable(p.bound[base]).forEach(on -> on.users.remove(p));
-        p.bound[base] = t;
-        Stream.ofNullable(t).forEach(on -> on.users.add(p));
-    }
-
     private void order(Proxy p, double lines) {
-        waiting += cost(p, lines);
-        p.fresh += lines;
+        ledger.reserve(cost(p, lines));
+        p.freshLines += lines;
     }
 
     private double cost(Proxy p, double lines) {
-        return lines + (p.fresh > 0 ? 0 : perMessage); // what is begun takes no further message
+        return lines + (p.freshLines > 0 ? 0 : perMessage); // what is begun takes no further message
     }
 
     private Operation operation(Table t) { // one of those that it is for
-        return operations[Integer.numberOfTrailingZeros(t.operations) % operations.length];
+        return operations.get(Integer.numberOfTrailingZeros(t.operations) % operations.size());
     }
 
     private boolean open(Host h, Table t) {
-        return operation(t).isOpenTo(h.zone, h.kind) && (t.homeZone < 0 || t.homeZone == h.zone)
-                && (t.part < 0 || h.part >= t.part && h.part < t.part + t.span);
-    }
-
-    private double laid(Host h, Table t) {
-        return h.id < t.laid.length ? t.laid[h.id] : 0;
-    }
-
-    private void setLaid(Host h, Table t, double weight) {
-        t.laid = t.laid.length > h.id ? t.laid : Arrays.copyOf(t.laid, h.id + 32);
-        t.length += (weight > 0 ? 1 : 0) - (t.laid[h.id] > 0 ? 1 : 0);
-        t.laid[h.id] = weight;
-    }
-
-    private List<Table> tablesWith(Host h) {
-        return tables.stream().filter(t -> laid(h, t) > 0).toList();
+        return operation(t).isOpenTo(h.zone, h.kind) && t.isForProxiesOf(h.zone) && t.hasPart(h.part);
     }
 
     private void fade(Host h, double keep) {
         stale = true;
-        Arrays.setAll(h.outcomes, i -> h.outcomes[i] * keep);
+        h.outcomes.scale(keep);
     }
 
     /** The fleet's figures, which no rule works out for each host: once for each input that changes them. */
@@ -417,30 +283,31 @@
         if (!stale && reckonedAt == now) {
             return;
         }
-        ended = bad = 0;
-        outcomesByKind.forEach(outcomes -> Arrays.fill(outcomes, 0));
+        ended = failed = 0;
+        fleet.outcomesByKind.forEach(outcomes -> outcomes.scale(0));
         for (Host h : hosts) {
             if (h.running) {
-                ended += h.outcomes[ENDED];
-                bad += h.outcomes[BAD];
-                double part = h.ejected || !isWarm(h) ? 0 : 1;
-                Arrays.setAll(outcomesByKind.get(h.kind), i -> outcomesByKind.get(h.kind)[i] + part * h.outcomes[i]);
+                ended += h.outcomes.ended;
+                failed += h.outcomes.failed;
+                if (!h.ejected && isWarm(h)) {
+                    fleet.ofKind(h.kind).add(h.outcomes.ended, h.outcomes.failed, h.outcomes.spentMs);
+                }
             }
         }
         for (Table t : tables) {
-            t.weightListed = t.weightIn = t.warmIn = t.ableIn = 0;
-            t.load = load(joined.stream().filter(p -> t.homeZone < 0 || t.homeZone == p.zone).toList());
+            t.weightListed = t.weightIn = t.weightWarm = t.weightAble = 0;
+            t.load = load(joined.stream().filter(p -> t.isForProxiesOf(p.zone)).toList());
             for (Host h : t.members) {
                 double weight = h.running && open(h, t) ? h.weight : 0;
                 t.weightListed += weight;
                 t.weightIn += h.ejected ? 0 : weight;
-                t.warmIn += h.ejected || !isWarm(h) ? 0 : weight;
-                t.ableIn += h.ejected ? 0 : weight * able(h);
+                t.weightWarm += h.ejected || !isWarm(h) ? 0 : weight;
+                t.weightAble += h.ejected ? 0 : weight * able(h);
             }
         }
         if (stale) {
             usualLate = best(0.33, h -> lateness(h.outcomes));
-            usualBad = best(0.33, h -> h.outcomes[BAD] / h.outcomes[ENDED]);
+            usualBad = best(0.33, h -> h.outcomes.failed / h.outcomes.ended);
             mostLate = best(0.62, h -> lateness(h.outcomes)); // a third of them broken or cut off does not move it
         }
         stale = false;
@@ -449,28 +316,48 @@
 
     /** Where the best part ends. In a jam all are bad; beside broken hosts the best are not. */
     private double best(double part, ToDoubleFunction<Host> figure) {
-        double[] all = hosts.stream().filter(h -> h.running && !h.ejected && h.outcomes[ENDED] >= 3)
-                .mapToDouble(figure).sorted().toArray();
+        double[] all = hosts.stream()
+                .filter(h -> h.running && !h.ejected && h.outcomes.ended >= 3)
+                .mapToDouble(figure)
+                .sorted()
+                .toArray();
         return all.length > 0 ? all[(int) (all.length * part)] : 0;
     }
 
     private boolean withdrawTold() { // together, as each message has a head, a quarter of the queue at least
-        List<Host> told = hosts.stream().filter(h -> h.told && !h.ejected).toList();
-        List<Proxy> concerned = told.isEmpty() ? List.of() : joined.stream()
-                .filter(p -> told.stream().anyMatch(h -> holds(p, h))).toList();
-        double room = mostWaiting - waiting, need = concerned.stream()
-                .mapToDouble(p -> cost(p, told.stream().filter(h -> holds(p, h)).count())).sum();
-        drainsWait = !told.isEmpty() && (bindsWait || need > room && room < 0.25 * mostWaiting
-                || !mayWrite(concerned, 0, DRAINS)); // nothing else is written meanwhile
-        return !drainsWait && !gathers(concerned) && each(h -> h.told && !h.ejected && waiting + holders(h)
-                .stream().mapToDouble(p -> cost(p, 1)).sum() <= mostWaiting, h -> withdraw(h, true))
-                .getAsBoolean();
+        List<Host> told = hosts.stream().filter(this::mustDrain).toList();
+        List<Proxy> concerned = joined.stream()
+                .filter(p -> told.stream().anyMatch(h -> holds(p, h)))
+                .toList();
+        double need = 0, room = channel.mostWaiting() - ledger.waiting();
+        for (Proxy p : concerned) {
+            need += cost(p, told.stream().filter(h -> holds(p, h)).count());
+        }
+        boolean full = bindsWait || need > room && room < 0.25 * channel.mostWaiting();
+        drainsWait = !told.isEmpty() && (full || !mayWrite(concerned, 0, DRAINS)); // nothing else is written meanwhile
+        return !drainsWait
+                && !gathers(concerned)
+                && each(h -> mustDrain(h) && drainFits(h), h -> withdraw(h, true))
+                        .getAsBoolean();
+    }
+
+    private boolean mustDrain(Host h) {
+        return h.told && !h.ejected;
+    }
+
+    private boolean drainFits(Host h) { // its withdrawal, in the queue
+        double lines = holders(h).stream().mapToDouble(p -> cost(p, 1)).sum();
+        return ledger.waiting() + lines <= channel.mostWaiting();
     }
 
     /** Guards the cap of messages against a drain told of word by word: the last half of it is spaced. */
     private boolean gathers(List<Proxy> to) { // others may be written meanwhile, and drains ride along
-        return now - drainedAt < Math.min(grace / 2, messagesOver / (0.6 * messagesMost)) && to.stream()
-                .anyMatch(p -> messagesMost > 0 && p.fresh == 0 && capUsed(p) > LINES * messagesMost);
+        return now - drainedAt < Math.min(channel.grace() / 2, messageGap())
+                && to.stream().anyMatch(p -> p.freshLines == 0 && capUsed(p) > LINES * channel.messagesMost());
+    }
+
+    private double messageGap() { // by which a proxy uses less than its cap of messages
+        return channel.messagesMost() > 0 ? channel.messagesOver() / (0.6 * channel.messagesMost()) : 0;
     }
 
     private List<Proxy> holders(Host h) { // no others get a message
@@ -478,7 +365,7 @@
     }
 
     private boolean holds(Proxy p, Host h) { // a standing table, or another steward's, may hold any host
-        return sliced || Arrays.stream(p.bound).anyMatch(t -> t == null || laid(h, t) > 0);
+        return sliced || p.mayHold(h);
     }
 
     private void withdraw(Host h, boolean out) {
@@ -487,26 +374,24 @@
         stale = true;
         commands.withdraw(h.id, out);
         holders(h).forEach(p -> order(p, 1));
-        tablesWith(h).forEach(t -> t.sentAt = now);
-    }
-
-    private boolean newcomer(Proxy p) {
-        return Arrays.asList(p.bound).contains(null);
+        registry.holding(h).forEach(t -> t.sentAt = now);
     }
 
     // ---- 1 health from late sums and trial return
 
-    private double lateness(double[] outcomes) { // mean, in objectives; a try that failed counts as late by half
-        return (outcomes[SPENT] / objective + 1.5 * outcomes[BAD]) / Math.max(1, outcomes[ENDED]);
+    private double lateness(Outcomes outcomes) { // mean, in objectives; a try that failed counts as late by half
+        return (outcomes.spentMs / objective + 1.5 * outcomes.failed) / Math.max(1, outcomes.ended);
     }
 
     /** Guards against a host at which tries fail, and not at the best third; a slow one goes when all do. */
     private boolean fails(Host h) {
-        double failed = h.outcomes[BAD], good = h.outcomes[ENDED] - failed;
+        double bad = h.outcomes.failed, good = h.outcomes.ended - bad;
         reckon();
-        boolean quick = h.outcomes[SPENT] < 1.3 * good * objective * usualLate;
-        return h.running && !h.unhealthy && failed >= (h.probationSince >= 0 ? 2 : 4) // bad tries that prove enough
-                && failed >= (good + failed) * Math.max(quick ? 0.3 : 0.97, 0.15 + 2.2 * usualBad);
+        boolean quick = h.outcomes.spentMs < 1.3 * good * objective * usualLate;
+        return h.running
+                && !h.unhealthy
+                && bad >= (h.probationSince >= 0 ? 2 : 4) // bad tries that prove enough
+                && bad >= (good + bad) * Math.max(quick ? 0.3 : 0.97, 0.15 + 2.2 * usualBad);
     }
 
     /**
@@ -515,15 +400,18 @@
      */
     private boolean senseCut() {
         for (Zone z : zones) {
-            if (rate < 0.25 * joined.size() * hosts.size() && z.near[ENDED] >= 5 && z.far[ENDED] >= 10
-                    && lateness(z.far) > lateness(z.near) + 0.5 && lateness(z.near) < 0.5) {
+            if (rate < 0.25 * joined.size() * hosts.size()
+                    && z.near.ended >= 5
+                    && z.far.ended >= 10
+                    && lateness(z.far) > lateness(z.near) + 0.5
+                    && lateness(z.near) < 0.5) {
                 hosts.stream().filter(h -> now >= z.cutUntil).forEach(h -> fade(h, 0)); // of the way
                 z.cutUntil = now + 10_000; // then the far hosts are tried anew
-                Arrays.fill(z.far, 0);
+                z.far.scale(0);
             }
             for (Table t : now < z.cutUntil ? List.copyOf(tables.subList(0, full)) : List.<Table>of()) {
                 if (tables.stream().noneMatch(o -> o.base == t.base && o.homeZone == zones.indexOf(z))) {
-                    addTable(t.operations, zones.indexOf(z), 0).base = t.base;
+                    registry.add(t.operations, zones.indexOf(z)).base = t.base;
                 }
             }
         }
@@ -531,14 +419,23 @@
     }
 
     private Table reach(Proxy p, Table base) { // the full table, or that of the proxy's own zone
-        return now >= zone(p.zone).cutUntil ? base : tables.stream().filter(t -> t.base == base.base
-                && t.homeZone == p.zone && t.part < 0 && t.warmIn > 0 && t.length > 0).findAny().orElse(base);
+        return now >= fleet.zone(p.zone).cutUntil
+                ? base
+                : tables.stream()
+                        .filter(t -> t.base == base.base
+                                && t.homeZone == p.zone
+                                && t.part < 0
+                                && t.weightWarm > 0
+                                && t.length > 0)
+                        .findAny()
+                        .orElse(base);
     }
 
     private void markUnhealthy(Host h) {
         h.unhealthy = true;
         h.probationSince = -1;
-        h.retryAt = now + 3000 * Math.pow(1.5, Math.min(4, h.consecutiveFailures++)); // 3 s, up to 15 s for what stays bad
+        h.retryAt =
+                now + 3000 * Math.pow(1.5, Math.min(4, h.consecutiveFailures++)); // 3 s, up to 15 s for what stays bad
     }
 
     private void startProbation(Host h, double share) { // 0.15 is a try a second or so: enough to judge by
@@ -548,28 +445,42 @@
         fade(h, 0);
     }
 
+    private boolean mustEject(Host h) {
+        return h.running && h.unhealthy && !h.ejected && mayTrouble(h) && spared(h);
+    }
+
+    private boolean mayRetry(Host h) {
+        return h.unhealthy && h.running && now >= h.retryAt;
+    }
+
     private boolean passesProbation(Host h) {
         double since = now - h.probationSince; // reports are up to 1.6 s late; after 6 s silence must do
-        return h.probationSince >= 0 && since > 1500 && (h.outcomes[ENDED] >= 2 || since > 6000);
+        return h.probationSince >= 0 && since > 1500 && (h.outcomes.ended >= 2 || since > 6000);
     }
 
     private void growShare(Host h) {
-        h.share = Math.min(h.bears, 4 * h.share); // two steps at most: few orders
-        h.probationSince = h.share < h.bears ? now : -1;
-        h.consecutiveFailures = h.share < h.bears ? h.consecutiveFailures : Math.max(0, h.consecutiveFailures - 1);
+        h.share = Math.min(h.shareLimit, 4 * h.share); // two steps at most: few orders
+        h.probationSince = h.share < h.shareLimit ? now : -1;
+        h.consecutiveFailures = h.share < h.shareLimit ? h.consecutiveFailures : Math.max(0, h.consecutiveFailures - 1);
     }
 
     /** Guards against a host too weak for its share. It could harm where a passing jam looks like that. */
     private boolean isSlow(Host h) {
-        return steady(h, 4) && now > h.restUntil && h.share > 0.3 && usualLate < 0.5
-                && lateness(h.outcomes) * Math.min(1, h.outcomes[ENDED] / 8) > Math.max(0.55, 1.6 * usualLate);
+        return steady(h, 4)
+                && now > h.restUntil
+                && h.share > 0.3
+                && usualLate < 0.5
+                && lateness(h.outcomes) * Math.min(1, h.outcomes.ended / 8) > Math.max(0.55, 1.6 * usualLate);
     }
 
     private boolean isOfSlowKind(Host h) { // where sums are thin, hosts of a kind tell of each other
-        double late = lateness(outcomesByKind.get(h.kind));
-        return late > 0.5 && outcomesByKind.get(h.kind)[ENDED] >= 50 && steady(h, 0) && h.share == 1
-                && now > h.restUntil && outcomesByKind.stream()
-                .anyMatch(m -> m[ENDED] >= 50 && lateness(m) < Math.min(0.35, late / 2));
+        double late = lateness(fleet.ofKind(h.kind));
+        return late > 0.5
+                && fleet.ofKind(h.kind).ended >= 50
+                && steady(h, 0)
+                && h.share == 1
+                && now > h.restUntil
+                && fleet.outcomesByKind.stream().anyMatch(m -> m.ended >= 50 && lateness(m) < Math.min(0.35, late / 2));
     }
 
     private boolean wasSlow(Host h) {
@@ -578,11 +489,11 @@
 
     private boolean steady(Host h, double tries) {
         reckon();
-        return h.running && !h.unhealthy && h.probationSince < 0 && isWarm(h) && h.outcomes[ENDED] >= tries;
+        return h.running && !h.unhealthy && h.probationSince < 0 && isWarm(h) && h.outcomes.ended >= tries;
     }
 
     private void setShare(Host h, double share) {
-        h.share = h.bears = share;
+        h.share = h.shareLimit = share;
         h.restUntil = now + 8000; // its queue drains, late tries end, and the sums come in
         fade(h, 0);
     }
@@ -594,7 +505,10 @@
     }
 
     private double able(Host h) { // at least, as a share of what it can do when warm
-        return isWarm(h) ? 1 : coldShare + (1 - coldShare) * Math.max(0, now - h.started) / warmAfter;
+        return isWarm(h)
+                ? 1
+                : settings.cold().startsAt()
+                        + (1 - settings.cold().startsAt()) * Math.max(0, now - h.started) / warmAfter;
     }
 
     /** The listed weight; for a new host the design's ramp under what it can do, less as many tries fail. */
@@ -606,7 +520,7 @@
             return h.weight * h.share;
         }
         reckon();
-        double well = 1 - bad / Math.max(20, ended);
+        double well = 1 - failed / Math.max(20, ended);
         double sure = able(h) * (0.75 + 0.25 * Math.min(1, age / warmAfter));
         return h.weight * h.share * Math.min(0.5 + age / 20_000, sure) * Math.max(0.01, well);
     }
@@ -614,53 +528,80 @@
     /** Guards against a cold host sent all by proxies that shun others: it waits while warm ones are in. */
     private boolean heldBackInRetryStorm(Host h) {
         reckon();
-        return now < retryStormUntil && !isWarm(h) && load(joined) >= 0.25 * joined.size() * hosts.size()
-                && tables.stream().allMatch(t -> !inUse(t) || !open(h, t) || t.warmIn > 0);
+        return now < retryStormUntil
+                && !isWarm(h)
+                && load(joined) >= 0.25 * joined.size() * hosts.size()
+                && tables.stream().allMatch(t -> !inUse(t) || !open(h, t) || t.weightWarm > 0);
+    }
+
+    private boolean mustWaitOutside(Host h) {
+        return h.running
+                && !h.ejected
+                && heldBackInRetryStorm(h)
+                && !registry.holding(h).isEmpty()
+                && mayTrouble(h);
     }
 
     /** Guards against a restarted or weak host that keeps its full weight: cut past the windows. */
     private boolean cutRestarted() {
-        return each(h -> !h.ejected && h.running && (h.share < 1 || !isWarm(h)) && tables.stream()
-                .anyMatch(t -> wanted(h, t) < 0.6 * laid(h, t))
-                && (isWarm(h) ? mayTrouble(h) : mayWrite(holders(h), 1, URGENT)),
-                h -> tables.forEach(t -> lay(h, t, wanted(h, t)))).getAsBoolean();
+        return each(this::mustBeCut, h -> tables.forEach(t -> lay(h, t, wanted(h, t))))
+                .getAsBoolean();
+    }
+
+    private boolean mustBeCut(Host h) {
+        return h.running
+                && !h.ejected
+                && (h.share < 1 || !isWarm(h))
+                && tables.stream().anyMatch(t -> wanted(h, t) < 0.6 * t.weight(h))
+                && (isWarm(h) ? mayTrouble(h) : mayWrite(holders(h), 1, URGENT));
     }
 
     private boolean spared(Host h) { // half of the weight that each table can use stays in
         reckon();
-        return tables.stream().allMatch(t -> !inUse(t) || !open(h, t)
-                || t.weightIn - h.weight >= 0.5 * t.weightListed);
+        return tables.stream().allMatch(t -> !inUse(t) || !open(h, t) || t.weightIn - h.weight >= 0.5 * t.weightListed);
     }
 
     private boolean isLast(Host h) { // of a table left with none but sick hosts: they are let back in
-        return h.running && tables.stream().anyMatch(t -> inUse(t) && open(h, t)
-                && hosts.stream().noneMatch(o -> o.running && !o.unhealthy && open(o, t)));
+        return h.running
+                && tables.stream()
+                        .anyMatch(t -> inUse(t)
+                                && open(h, t)
+                                && hosts.stream().noneMatch(o -> o.running && !o.unhealthy && open(o, t)));
     }
 
     private boolean due(Host h, Table t) {
-        double want = wanted(h, t), has = laid(h, t);
-        return (has > 0 || !heldBackInRetryStorm(h)) && ((want == 0) != (has == 0)
-                || Math.abs(want - has) > 0.12 * Math.max(want, has) // a ramp is a dozen steps
-                || want == h.weight && has != want);
+        double want = wanted(h, t), has = t.weight(h);
+        return (has > 0 || !heldBackInRetryStorm(h))
+                && ((want == 0) != (has == 0)
+                        || Math.abs(want - has) > 0.12 * Math.max(want, has) // a ramp is a dozen steps
+                        || want == h.weight && has != want);
     }
 
     private boolean backIn(Host h) { // when every table has its due weight
-        return h.ejected && h.running && !h.unhealthy && !heldBackInRetryStorm(h)
+        return h.ejected
+                && h.running
+                && !h.unhealthy
+                && !heldBackInRetryStorm(h)
                 && tables.stream().noneMatch(t -> due(h, t));
     }
 
     private boolean admissionDue(Table t, int k) {
-        return !sliced && (t.operations == 0 || (t.operations >> k & 1) != 0)
-                && (t.tries != tries() || Math.abs(t.admissionRatio[k] - operationAdmission[k]) > 0.02); // finer: not worth it
+        return !sliced
+                && t.isFor(k)
+                && (t.retryPolicy != tries()
+                        || Math.abs(t.admissionRatio[k] - operationAdmission[k]) > 0.02); // finer: not worth it
     }
 
     private boolean cutDue(Table t) { // as urgent as a withdrawal: each moment of a jam lengthens it
-        return IntStream.range(0, operations.length).anyMatch(k -> admissionDue(t, k) && operationAdmission[k] < t.admissionRatio[k]);
+        return IntStream.range(0, operations.size())
+                .anyMatch(k -> admissionDue(t, k) && operationAdmission[k] < t.admissionRatio[k]);
     }
 
     private int pending(Table t) {
-        return (int) (IntStream.range(0, operations.length).filter(k -> admissionDue(t, k)).count()
-                + t.members.stream().filter(h -> due(h, t)).count());
+        long levels = IntStream.range(0, operations.size())
+                .filter(k -> admissionDue(t, k))
+                .count();
+        return (int) (levels + t.members.stream().filter(h -> due(h, t)).count());
     }
 
     private double unsent(Table t, int depth) { // binds have depth 2, as a step comes after them
@@ -676,51 +617,52 @@
     }
 
     private Stream<Proxy> unbound(Table t) {
-        return joined.stream().filter(p -> isFull(t) && t.length > 0
-                && (t.homeZone < 0 || t.homeZone == p.zone) && mustMove(p, t));
+        return joined.stream().filter(p -> isFull(t) && t.length > 0 && t.isForProxiesOf(p.zone) && mustMove(p, t));
     }
 
     private boolean mustMove(Proxy p, Table base) {
         Table on = p.bound[base.base], to = reach(p, base);
-        return on != to && (on == null || to != base || span == 0 || on.part < 0
-                || 2 * on.span < span || isWeak(on));
+        return on != to && (on == null || to != base || span == 0 || on.part < 0 || 2 * on.span < span || isWeak(on));
     }
 
     private boolean isWeak(Table t) { // a part that hosts have left, or more asked than others
-        return load(t.users) * tables.get(t.base).ableIn > 1.5 * tables.get(t.base).load * t.ableIn;
+        return load(t.users) * tables.get(t.base).weightAble > 1.5 * tables.get(t.base).load * t.weightAble;
     }
 
     private double load(Collection<Proxy> of) {
-        return of.stream().mapToDouble(p -> p.usual).sum();
+        return of.stream().mapToDouble(p -> p.usualRate).sum();
     }
 
     /** The depth rule: where binds would be last of all to finish, the table's other lines wait for them. */
     private boolean onlyBinds(Table t) {
-        return isFull(t) && unsent(t, 2) > 0 && (2 * roundTrip * pace + unsent(t, 2)) * 1.05
-                > tables.stream().limit(full).mapToDouble(o -> unsent(o, 1) + unsent(o, 2)).max().orElse(0);
+        double binds = isFull(t) ? unsent(t, 2) : 0;
+        DoubleStream all = tables.stream().limit(full).mapToDouble(o -> unsent(o, 1) + unsent(o, 2));
+        return binds > 0 && (2 * roundTrip * pace + binds) * 1.05 > all.max().orElse(0);
     }
 
     private void lay(Host h, Table t, double weight) {
-        if (weight != laid(h, t)) {
+        if (weight != t.weight(h)) {
             commands.line(t.number, h.id, weight);
-            setLaid(h, t, weight);
+            t.setWeight(h, weight);
             users(t).forEach(p -> order(p, 1 + commands.lineBrings(h.id, p.id)));
         }
     }
 
     private void layDue(Table t) {
         t.members.stream().filter(h -> due(h, t)).limit(piece(t)).forEach(h -> lay(h, t, wanted(h, t)));
-        IntStream.range(0, operations.length).filter(k -> admissionDue(t, k)).forEach(k -> layAdmission(t, k));
-        t.tries = tries();
+        IntStream.range(0, operations.size()).filter(k -> admissionDue(t, k)).forEach(k -> layAdmission(t, k));
+        t.retryPolicy = tries();
         t.sentAt = now;
     }
 
     /** The smallest pending sub-update goes first; each is sent whole, once all its proxies have room. */
     private boolean sendSubUpdate() {
-        double gap = Math.max(roundTrip, messagesMost > 0 ? messagesOver / (0.6 * messagesMost) : 0);
-        Table next = tables.stream().filter(t -> t.length == 0 || gapOver(t, gap) || cutDue(t))
+        double gap = Math.max(roundTrip, messageGap());
+        Table next = tables.stream()
+                .filter(t -> t.length == 0 || gapOver(t, gap) || cutDue(t))
                 .filter(t -> pending(t) > 0 && !onlyBinds(t) && allHaveRoom(t))
-                .min(Comparator.comparingDouble(t -> unsent(t, 1))).orElse(null);
+                .min(Comparator.comparingDouble(t -> unsent(t, 1)))
+                .orElse(null);
         Stream.ofNullable(next).forEach(this::layDue);
         return next != null;
     }
@@ -728,21 +670,24 @@
     private boolean bindProxies(boolean fresh) { // newcomers first, as they may hold hosts that drain
         reckon();
         boolean fired = bindsWait = false;
-        for (Table t : tables.stream().allMatch(t -> t.length > 0 || t.weightIn == 0) // first the lines
-                ? List.copyOf(tables.subList(0, full)) : List.<Table>of()) {
-            List<Proxy> due = unbound(t).filter(p -> !fresh || p.bound[t.base] == null).toList();
+        boolean laid = tables.stream().allMatch(t -> t.length > 0 || t.weightIn == 0); // first the lines
+        for (Table t : laid ? List.copyOf(tables.subList(0, full)) : List.<Table>of()) {
+            List<Proxy> due =
+                    unbound(t).filter(p -> !fresh || p.bound[t.base] == null).toList();
             List<Table> some = due.isEmpty() ? List.of() : partsOf(t, fresh && joinSurge ? 1 : span);
             for (Proxy p : due) {
                 Table to = reach(p, t) != t ? reach(p, t) : leastAsked(some, t);
-                double lines = 1 + to.length + operations.length + commands.bindBrings(to.number, p.id)
-                        + to.members.stream().filter(h -> h.ejected && laid(h, to) > 0).count(); // withdrawn: too
+                long withdrawn = to.members.stream()
+                        .filter(h -> h.ejected && to.holds(h))
+                        .count();
+                double lines = 1 + to.length + operations.size() + commands.bindBrings(to.number, p.id) + withdrawn;
                 if (mustMove(p, t) && mayWrite(List.of(p), lines, fresh ? DRAINS : LINES)) {
-                    put(p, t.base, to);
+                    p.bind(t.base, to);
                     commands.bind(to.number, to.operations, p.id);
                     order(p, lines);
                     fired = true;
                 } else {
-                    bindsWait |= fresh && waiting + cost(p, lines) > mostWaiting;
+                    bindsWait |= fresh && ledger.waiting() + cost(p, lines) > channel.mostWaiting();
                 }
             }
         }
@@ -752,25 +697,31 @@
     private List<Table> partsOf(Table base, int wide) { // the tables that share out the dealt parts
         int count = wide == 0 ? 0 : Math.min(parts, Math.max(2, parts / wide)); // none is all of them
         List<Table> all = IntStream.range(0, count)
-                .mapToObj(i -> part(base, i * parts / count, (i + 1) * parts / count)).toList();
+                .mapToObj(i -> part(base, i * parts / count, (i + 1) * parts / count))
+                .toList();
         reckon();
         all.stream().filter(t -> t.length == 0).forEach(this::layDue);
         return all;
     }
 
     private Table leastAsked(List<Table> of, Table base) { // for what there is
-        return of.stream().filter(t -> t.warmIn > 0)
-                .min(Comparator.comparingDouble(t -> (load(t.users) + 1e-6) / t.ableIn)).orElse(base);
+        return of.stream()
+                .filter(t -> t.weightWarm > 0)
+                .min(Comparator.comparingDouble(t -> (load(t.users) + 1e-6) / t.weightAble))
+                .orElse(base);
     }
 
     private Table part(Table base, int from, int to) {
-        return tables.stream().filter(t -> t.base == base.base && t.part == from && t.span == to - from)
-                .findFirst().orElseGet(() -> {
-                    Table t = addTable(base.operations, base.homeZone, 0);
+        return tables.stream()
+                .filter(t -> t.base == base.base && t.part == from && t.span == to - from)
+                .findFirst()
+                .orElseGet(() -> {
+                    Table t = registry.add(base.operations, base.homeZone);
                     t.base = base.base;
                     t.part = from;
                     t.span = to - from;
-                    t.members = new ArrayList<>(hosts.stream().filter(h -> open(h, t)).toList());
+                    t.members = new ArrayList<>(
+                            hosts.stream().filter(h -> open(h, t)).toList());
                     stale = true;
                     return t;
                 });
@@ -790,30 +741,28 @@
      */
     private boolean dealParts() {
         reckon();
-        double most = 3300 * pace / Math.max(1, joined.size()) - perMessage - 1 - operations.length;
-        double lines = tables.subList(0, full).stream().mapToDouble(t -> t.length
-                / (t.homeZone < 0 ? 1.0 : operation(t).zoneCount())).sum(); // of one proxy
-        List<Host> in = parts > 0 ? List.of() : hosts.stream().filter(h -> h.running && !h.ejected && isWarm(h))
-                .sorted(Comparator.comparingInt((Host h) -> h.zone).thenComparingInt(h -> h.kind)).toList();
+        int standing = Math.max(2, settings.standing());
+        double most = 3300 * pace / Math.max(1, joined.size()) - perMessage - 1 - operations.size();
+        double lines = tables.subList(0, full).stream()
+                .mapToDouble(this::linesOfOneProxy)
+                .sum();
+        List<Host> in = parts > 0
+                ? List.of()
+                : hosts.stream()
+                        .filter(h -> h.running && !h.ejected && isWarm(h))
+                        .sorted(Comparator.comparingInt((Host h) -> h.zone).thenComparingInt(h -> h.kind))
+                        .toList();
         boolean wide = !sliced && lines > (span > 0 ? 1 : 1.25) * most;
-        joinSurge = !sliced && waiting + joined.stream().filter(this::newcomer).count()
-                * Math.min(lines, Math.max(standing, most)) > 1000 * pace;
+        double newcomers = joined.stream().filter(Proxy::isNewcomer).count();
+        joinSurge = !sliced && ledger.waiting() + newcomers * Math.min(lines, Math.max(standing, most)) > 1000 * pace;
         if ((joinSurge || wide) && parts == 0 && !in.isEmpty()) {
             parts = Math.max(1, in.size() / standing);
             IntStream.range(0, in.size()).forEach(i -> in.get(i).part = i % parts);
         }
         int fits = wide && parts > 1 ? (int) Math.max(1, parts * Math.min(1, most / lines)) % parts : 0;
         span = fits == 0 || span == 0 || fits > 2 * span || 2 * fits < span ? fits : span;
-        for (Host h : parts == 0 ? List.<Host>of() : hosts) { // newcomers go where least can be done
-            if (h.running && h.part < 0) {
-                h.part = IntStream.range(0, parts).boxed().min(Comparator.comparing(this::dealt)).orElse(0);
-                tables.stream().filter(t -> t.part >= 0 && open(h, t)).forEach(t -> t.members.add(h));
-                stale = true;
-            }
-        }
-        List<Table> idle = tables.stream().filter(t -> !sliced && !isFull(t) && t.users.isEmpty()
-                && zones.stream().allMatch(z -> now >= z.cutUntil)
-                && (t.part < 0 || !joinSurge && (span == 0 || Math.abs(t.span - span) > 1))).toList();
+        fleet.forEachHost(h -> parts > 0 && h.running && h.part < 0, this::dealNew);
+        List<Table> idle = tables.stream().filter(this::isIdle).toList();
         idle.forEach(t -> commands.wipe(t.number));
         tables.removeAll(idle);
         if (!joinSurge && !wide && tables.stream().allMatch(t -> t.part < 0)) {
@@ -823,40 +772,64 @@
         return false;
     }
 
+    private double linesOfOneProxy(Table t) {
+        return t.length / (t.homeZone < 0 ? 1.0 : operation(t).zoneCount());
+    }
+
+    private void dealNew(Host h) { // newcomers go where least can be done
+        h.part = IntStream.range(0, parts)
+                .boxed()
+                .min(Comparator.comparing(this::dealt))
+                .orElse(0);
+        tables.stream().filter(t -> t.part >= 0 && open(h, t)).forEach(t -> t.members.add(h));
+        stale = true;
+    }
+
+    private boolean isIdle(Table t) {
+        boolean isOld = t.part < 0 || !joinSurge && (span == 0 || Math.abs(t.span - span) > 1);
+        return !sliced
+                && !isFull(t)
+                && t.users.isEmpty()
+                && isOld
+                && zones.stream().allMatch(z -> now >= z.cutUntil);
+    }
+
     // ---- 4 channel ledger
 
     private boolean gapOver(Table t, double least) { // later changes merge; a quarter of it all for heads
         return now - t.sentAt >= Math.max(least, 4 * joined.size() * perMessage / pace)
-                || users(t).stream().allMatch(p -> p.fresh > 0);
+                || users(t).stream().allMatch(p -> p.freshLines > 0);
     }
 
     private boolean mayTrouble(Host h) {
-        return tablesWith(h).stream().allMatch(t -> gapOver(t, 0)) && mayWrite(holders(h), 1, URGENT);
+        return registry.holding(h).stream().allMatch(t -> gapOver(t, 0)) && mayWrite(holders(h), 1, URGENT);
     }
 
     /** How much may wait: the ordinary at most two seconds, or half of the grace, however deep the queue. */
     private double upTo(double part, int users) { // and room for a line to each of them
-        return part > LINES ? part * mostWaiting : Math.min(LINES * mostWaiting,
-                Math.max(Math.min(2000, grace / 2) * pace, 2 * users * (1 + perMessage)));
+        double ordinary = Math.max(Math.min(2000, channel.grace() / 2) * pace, 2 * users * (1 + perMessage));
+        return part > LINES ? part * channel.mostWaiting() : Math.min(LINES * channel.mostWaiting(), ordinary);
     }
 
     private boolean mayWrite(Collection<Proxy> to, double lines, double part) {
-        boolean slow = roundTrip > 0.5 * grace && waiting > 0.25 * mostWaiting; // a drain would come too late
+        double waiting = ledger.waiting(), most = channel.mostWaiting();
+        boolean slow = roundTrip > 0.5 * channel.grace() && waiting > 0.25 * most; // a drain would come too late
+        double cost = to.stream().mapToDouble(p -> cost(p, lines)).sum();
+        double cap = Math.min(part + 0.2, Math.max(part, URGENT)) * channel.messagesMost();
         return (part == DRAINS || !drainsWait && !slow)
-                && waiting + to.stream().mapToDouble(p -> cost(p, lines)).sum() <= upTo(part, to.size())
-                && to.stream().allMatch(p -> messagesMost == 0 || p.fresh > 0
-                || capUsed(p) + 1 <= Math.min(part + 0.2, Math.max(part, URGENT)) * messagesMost);
+                && waiting + cost <= upTo(part, to.size())
+                && (cap == 0 || to.stream().allMatch(p -> p.freshLines > 0 || capUsed(p) + 1 <= cap));
     }
 
     private int capUsed(Proxy p) {
-        p.written.removeIf(at -> at <= now - messagesOver - 1);
-        return p.written.size();
+        return p.sentSince(now - channel.messagesOver() - 1);
     }
 
     /** The window: a round trip's lines, at least 5 messages. Who is slow or frozen holds up no batch. */
     private boolean hasRoom(Proxy p, double lines, Table t) {
-        return p.unanswered.size() < 5 || p.unansweredLines + lines <= roundTrip * pace / users(t).size()
-                || now - p.unanswered.peek().at > Math.max(3 * roundTrip, 2 * transitMost);
+        return p.unanswered.size() < 5
+                || p.unansweredLines + lines <= roundTrip * pace / users(t).size()
+                || now - p.unanswered.peek().sentAt > Math.max(3 * roundTrip, 2 * channel.transitMost());
     }
 
     /** Guards against a sub-update that no queue holds: then it goes in pieces of half of what one may. */
@@ -866,30 +839,26 @@
     }
 
     private boolean allHaveRoom(Table t) { // a line may bring one more to who was with another steward
-        List<Host> due = t.members.stream().filter(h -> due(h, t)).limit(piece(t)).toList();
-        double lines = Math.min(pending(t), piece(t)) + users(t).stream().mapToInt(p -> due.stream()
-                .mapToInt(h -> commands.lineBrings(h.id, p.id)).sum()).max().orElse(0);
+        List<Host> due =
+                t.members.stream().filter(h -> due(h, t)).limit(piece(t)).toList();
+        int brought = users(t).stream().mapToInt(p -> brought(due, p)).max().orElse(0);
+        double lines = Math.min(pending(t), piece(t)) + brought;
         return mayWrite(users(t), lines, LINES) && users(t).stream().allMatch(p -> hasRoom(p, lines, t));
     }
 
+    private int brought(List<Host> due, Proxy p) {
+        return due.stream().mapToInt(h -> commands.lineBrings(h.id, p.id)).sum();
+    }
+
     private void requestBarrier() { // one for all messages of this reply; each proxy concerned answers it
-        List<Proxy> concerned = joined.stream().filter(p -> p.fresh > 0).toList();
-        reckonChannel(); // without what was only reckoned with
+        List<Proxy> concerned = joined.stream().filter(p -> p.freshLines > 0).toList();
+        ledger.update(now); // without what was only reckoned with
         if (!concerned.isEmpty()) {
             commands.barrier(mark = (mark + 1) % 65536, false);
         }
         for (Proxy p : concerned) {
-            Message m = new Message();
-            m.mark = mark;
-            m.at = now;
-            m.lines = commands.lines(p.id, p.fresh) + perMessage; // those that the way adds count too
-            waiting += m.lines;
-            m.leavesBy = now + waiting / pace;
-            inChannel.add(m);
-            p.unansweredLines += m.lines;
-            p.unanswered.add(m);
-            p.written.add(now);
-            p.fresh = 0;
+            double lines = commands.lines(p.id, p.freshLines) + perMessage; // those that the way adds count too
+            p.sent(ledger.send(mark, now, lines));
         }
     }
 
@@ -901,28 +870,31 @@
 
     private void layAdmission(Table t, int k) {
         t.admissionRatio[k] = operationAdmission[k];
-        double each = users(t).stream().mapToDouble(p -> p.asked[k]).sum() / Math.max(1, users(t).size());
-        double figure = measure != Measure.PER_SECOND ? operationAdmission[k] : operationAdmission[k] < 1 ? operationAdmission[k] * each
-                : 1e6; // more than any proxy is asked
+        double each = users(t).stream().mapToDouble(p -> p.requestRate[k]).sum() / Math.max(1, users(t).size());
+        double figure = settings.measure() != Measure.PER_SECOND
+                ? operationAdmission[k]
+                : operationAdmission[k] < 1 ? operationAdmission[k] * each : 1e6; // more than any proxy is asked
         commands.level(t.number, 1 << k, figure, tries());
         users(t).forEach(p -> order(p, 1));
     }
 
     private double asked(int k) {
-        return joined.stream().mapToDouble(p -> p.asked[k]).sum();
+        return joined.stream().mapToDouble(p -> p.requestRate[k]).sum();
     }
 
     /** Guards against a fleet too small, whatever made it so: what is let in follows what ends well. */
     private boolean setAdmission() {
-        rate = IntStream.range(0, operations.length).mapToDouble(this::asked).sum();
-        double work = IntStream.range(0, operations.length).mapToDouble(this::work).sum();
+        rate = IntStream.range(0, operations.size()).mapToDouble(this::asked).sum();
+        double work =
+                IntStream.range(0, operations.size()).mapToDouble(this::work).sum();
         stale |= rate > 0 && objective != work / rate;
         objective = rate > 0 ? work / rate : objective;
         reckon();
-        double good = ended - bad, late = mostLate;
+        double good = ended - failed, late = mostLate;
         quickest = ended < 20 || usualLate == 0 ? quickest : Math.min(quickest, usualLate); // unhurried
         retryStormUntil = good < ended - 0.3 * Math.max(20, ended) || late > Math.max(0.45, 4 * quickest)
-                ? now + 3000 : retryStormUntil; // a fifth of the hosts dead makes less of one
+                ? now + 3000
+                : retryStormUntil; // a fifth of the hosts dead makes less of one
         if (now >= forgetAt) {
             forgetAt = Double.POSITIVE_INFINITY;
             hosts.forEach(h -> fade(h, 0)); // what ended till now was let in before the cut
@@ -944,12 +916,15 @@
     }
 
     private double work(int k) {
-        return asked(k) * operations[k].objective();
+        return asked(k) * operations.get(k).objective();
     }
 
     private void spreadAdmission(double cut) { // taken where a unit of work (by its objective) earns least
-        List<Integer> cheapest = IntStream.range(0, operations.length).boxed().sorted(
-                Comparator.comparingDouble(k -> operations[k].value() / operations[k].objective())).toList();
+        List<Integer> cheapest = IntStream.range(0, operations.size())
+                .boxed()
+                .sorted(Comparator.comparingDouble(
+                        k -> operations.get(k).value() / operations.get(k).objective()))
+                .toList();
         Arrays.fill(operationAdmission, 1);
         for (double floor : new double[] {0.4, 0.05}) { // first each to 0.4, so that none is given up early
             for (int k : cheapest) {
@@ -963,12 +938,22 @@
     /** A slice has one line; a lost owner goes, and the next comes once no write can be in its hands. */
     private boolean placeSlices() {
         for (Table t : sliced ? tables : List.<Table>of()) {
-            boolean lost = t.owner != null && !t.owner.running;
-            t.ownerless = lost ? now : t.ownerless;
-            t.owner = t.owner != null && !lost ? t.owner : now - t.ownerless <= ownerAfter ? null
-                    : hosts.stream().filter(h -> h.running && !h.ejected).min(Comparator.comparingDouble(h ->
-                    tables.stream().filter(o -> o.owner == h).count() / h.weight)).orElse(null);
+            if (t.owner != null && !t.owner.running) {
+                t.owner = null;
+                t.ownerlessSince = now;
+            }
+            if (t.owner == null && now - t.ownerlessSince > ownerAfter) {
+                t.owner = leastOwning();
+            }
         }
         return false; // gone through before the lines are laid, it finds nothing new
     }
+
+    private Host leastOwning() {
+        return hosts.stream()
+                .filter(h -> h.running && !h.ejected)
+                .min(Comparator.comparingDouble(
+                        h -> tables.stream().filter(t -> t.owner == h).count() / h.weight))
+                .orElse(null);
+    }
 }
--- a/src/main/java/linenring/planner/PlannerSettings.java
+++ b/src/main/java/linenring/planner/PlannerSettings.java
@@ -14,6 +14,15 @@
         boolean goneNeedNotStop,
         int standing) {
 
+    /** Mask of the operations that are open to the same hosts as this one. */
+    int alike(int operation) {
+        int mask = 0;
+        for (int other = 0; other < operations.size(); other++) {
+            mask |= operations.get(other).openTo(operations.get(operation)) ? 1 << other : 0;
+        }
+        return mask;
+    }
+
     /** One operation; the masks have a bit for each zone and machine kind that it is open to. */
     public record Operation(
             double objective, double value, long zones, long kinds, boolean homeZoneOnly, int zoneCount) {
@@ -41,10 +50,24 @@
             double messagesOver,
             double transit,
             double transitMost,
-            double grace) {}
+            double grace) {
+        double linesPerMs() {
+            return pace / 1000;
+        }
+
+        /** Lines that a message takes beside those it holds: its head, and one for the barrier request. */
+        double messageCost() {
+            return perMessage + 1;
+        }
+    }
 
     /** Slices of keys, where there are any (count above 0). */
-    public record Slices(int count, boolean singleOwner, double lease, double lingers) {}
+    public record Slices(int count, boolean singleOwner, double lease, double lingers) {
+        /** How long after a steward has lost a slice proxies may go on writing to its owner. */
+        double writesEndWithin() {
+            return lease + lingers;
+        }
+    }
 
     /** What the figure of a level means. */
     public enum Measure {
