Planner: called when something is due, not each tenth of a second

Change: after each reconciliation Planner works out the next time at which time alone may change a decision (Host.nextDue, Zone.isQuiet, what is pending) and asks for a call at that tick of the same grid (TickTimer); while anything is under way that is the next tick, as before. Steward does no round where nothing arrived and nothing is due.

--- a/src/main/java/linenring/planner/Host.java
+++ b/src/main/java/linenring/planner/Host.java
@@ -37,4 +37,30 @@
     Host(int id) {
         this.id = id;
     }
+
+    /** Whether it drains or is gone and proxies have yet to be told. */
+    boolean mustDrain() {
+        return told && !ejected;
+    }
+
+    /** Its process is a new one: what was seen of the old one tells nothing. */
+    void forgetHealth() {
+        unhealthy = false;
+        share = 1;
+        shareLimit = 1;
+        probationSince = -1;
+        outcomes.scale(0);
+    }
+
+    /**
+     * When time alone may next change what is decided for it: now while it warms up, is judged or waits for an order, and
+     * infinity where time changes nothing.
+     */
+    double nextDue(double now, double warmUpMs) {
+        boolean comesIn = running && (now - started < warmUpMs || ejected != unhealthy);
+        if (outcomes.ended > 0 || mustDrain() || comesIn || probationSince >= 0) {
+            return now;
+        }
+        return running && unhealthy ? retryAt : Double.POSITIVE_INFINITY;
+    }
 }
--- a/src/main/java/linenring/planner/Planner.java
+++ b/src/main/java/linenring/planner/Planner.java
@@ -33,7 +33,7 @@
     private final PlannerSettings settings;
     private final Channel channel;
     private final List<Operation> operations;
-    private final double pace, perMessage, warmAfter;
+    private final double pace, perMessage, warmAfter, rampMs;
     private final double askEvery, ownerAfter; // ownerAfter: no write in a former owner's hands; or -1
     private final boolean sliced;
     private final Fleet fleet = new Fleet();
@@ -43,8 +43,9 @@
     private final TableRegistry registry = new TableRegistry(hosts);
     private final List<Table> tables = registry.tables;
     private final ChannelLedger ledger;
+    private final TickTimer timer = new TickTimer(100); // a tenth of a second: shorter than any report or way here
     private final List<BooleanSupplier> rules;
-    private double now, fadedAt, roundTrip, timerAt = -1, askAt, retryStormUntil = -1, firstClockAt, drainedAt;
+    private double now, fadedAt, roundTrip, askAt, retryStormUntil = -1, firstClockAt, drainedAt;
     private boolean wholeList, drainsWait, bindsWait, joinSurge, stale = true; // stale: sums or hosts have changed
     private double reckonedAt, usualLate, mostLate, usualBad, ended, failed, rate;
     private int mark, full; // full: number of full tables, which come before all others
@@ -63,6 +64,7 @@
         ledger = new ChannelLedger(channel, 5 * channel.mostWaiting() / pace); // as slow as a channel gets
         roundTrip = 2 * channel.transit();
         warmAfter = start.cold().warmAfter();
+        rampMs = Math.max(10_000, warmAfter);
         askEvery = start.askListWithin() / 3; // two calls may fail
         askAt = start.listMustBeAsked() ? 0 : Double.POSITIVE_INFINITY;
         sliced = start.slices().count() > 0;
@@ -109,7 +111,7 @@
         }
         if (now - fadedAt >= 100) { // no finer than the alarms
             double keep = Math.pow(0.5, (now - fadedAt) / Math.max(1500, lag));
-            fadedAt = now;
+            fadedAt = timer.lastTickBy(now);
             ledger.update(now);
             hosts.forEach(h -> fade(h, keep));
             for (Zone z : zones) {
@@ -128,12 +130,23 @@
             askAt = now + askEvery;
             commands.followList();
         }
-        if (timerAt <= now + 1) { // due, but for what rounding took
-            timerAt = now + 100; // a tenth of a second: shorter than any report or way here
-            commands.timer(timerAt, 1);
+        double callAt = timer.ask(now, nextDue());
+        if (callAt < Double.POSITIVE_INFINITY) {
+            commands.timer(callAt, 1);
         }
     }
 
+    /** When time alone may next change what is decided: now while anything is under way, or infinity. */
+    private double nextDue() {
+        boolean quiet =
+                !sliced && !joinSurge && ledger.isEmpty() && zones.stream().allMatch(z -> z.isQuiet(now));
+        if (!quiet || tables.stream().anyMatch(t -> pending(t) > 0 || unsent(t, 2) > 0)) {
+            return now;
+        }
+        double due = Math.min(Math.min(askAt, forgetAt), now < retryStormUntil ? retryStormUntil : forgetAt);
+        return hosts.stream().mapToDouble(h -> h.nextDue(now, rampMs)).reduce(due, Math::min);
+    }
+
     public void beginHostList(boolean whole) {
         wholeList = whole;
         hosts.forEach(h -> h.inList = false);
@@ -143,10 +156,7 @@
         boolean unmet = !wholeList && id >= hosts.size();
         Host h = listed(id, zone, kind, weight);
         if (!h.running || started > h.started) { // a new process: what was seen of the old one tells nothing
-            h.unhealthy = false;
-            h.share = h.shareLimit = 1;
-            h.probationSince = -1;
-            fade(h, 0);
+            h.forgetHealth();
         }
         h.started = started;
         h.running = true;
@@ -325,7 +335,7 @@
     }
 
     private boolean withdrawTold() { // together, as each message has a head, a quarter of the queue at least
-        List<Host> told = hosts.stream().filter(this::mustDrain).toList();
+        List<Host> told = hosts.stream().filter(Host::mustDrain).toList();
         List<Proxy> concerned = joined.stream()
                 .filter(p -> told.stream().anyMatch(h -> holds(p, h)))
                 .toList();
@@ -337,14 +347,10 @@
         drainsWait = !told.isEmpty() && (full || !mayWrite(concerned, 0, DRAINS)); // nothing else is written meanwhile
         return !drainsWait
                 && !gathers(concerned)
-                && each(h -> mustDrain(h) && drainFits(h), h -> withdraw(h, true))
+                && each(h -> h.mustDrain() && drainFits(h), h -> withdraw(h, true))
                         .getAsBoolean();
     }
 
-    private boolean mustDrain(Host h) {
-        return h.told && !h.ejected;
-    }
-
     private boolean drainFits(Host h) { // its withdrawal, in the queue
         double lines = holders(h).stream().mapToDouble(p -> cost(p, 1)).sum();
         return ledger.waiting() + lines <= channel.mostWaiting();
@@ -516,7 +522,7 @@
         double age = Math.max(0, now - h.started);
         if (!h.running || !open(h, t) || sliced) {
             return sliced && h == t.owner ? h.weight : 0;
-        } else if (age >= Math.max(10_000, warmAfter)) {
+        } else if (age >= rampMs) {
             return h.weight * h.share;
         }
         reckon();
--- a/src/main/java/linenring/planner/Zone.java
+++ b/src/main/java/linenring/planner/Zone.java
@@ -6,4 +6,9 @@
     final Outcomes far = new Outcomes();
     /** Until then its proxies keep to hosts of the zone; milliseconds. */
     double cutUntil;
+
+    /** Whether time alone changes nothing here: no sums that fade, no cut that ends. */
+    boolean isQuiet(double now) {
+        return near.ended == 0 && far.ended == 0 && now >= cutUntil;
+    }
 }
--- a/src/main/java/linenring/steward/Steward.java
+++ b/src/main/java/linenring/steward/Steward.java
@@ -42,7 +42,10 @@
         try {
             while (true) {
                 double last = clock.now();
-                exchange.await((long) (Math.min(1000, fleetState.nextAlarm() - last) * 1e6));
+                boolean arrived = exchange.await((long) (Math.min(1000, fleetState.nextAlarm() - last) * 1e6));
+                if (!arrived && fleetState.nextAlarm() > clock.now()) {
+                    continue; // nothing is due
+                }
                 long early = (long) ((last + quantum - clock.now()) * 1e6); // no closer than the settings say
                 if (early > 0) {
                     LockSupport.parkNanos(early);
--- /dev/null
+++ b/src/test/java/linenring/planner/IdlePlannerTest.java
@@ -0,0 +1,135 @@
+package linenring.planner;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.List;
+import java.util.Random;
+import net.jqwik.api.ForAll;
+import net.jqwik.api.Property;
+import org.junit.jupiter.api.Test;
+
+/** A planner that is called only when something arrives or is due takes the decisions of one that is called at every tick. */
+class IdlePlannerTest {
+    private static final int HOSTS = 12;
+    private static final int PROXIES = 6;
+    private static final int HOUR_MS = 3_600_000;
+
+    @Property(tries = 60)
+    void decidesAsOneThatIsCalledAtEveryTick(@ForAll long seed) {
+        PlannerHistory swept = history(seed, true);
+        PlannerHistory onDemand = history(seed, false);
+        assertSame(swept.decisions(), onDemand.decisions());
+        assertTrue(onDemand.calls() <= swept.calls());
+    }
+
+    @Test
+    void isNotCalledWhileNothingIsDue() {
+        PlannerHistory history = new PlannerHistory(false, false);
+        startFleet(history);
+        history.passTo(120_000); // joins are answered, the first levels are set
+        int before = history.calls();
+        history.passTo(120_000 + HOUR_MS);
+        assertEquals(before, history.calls());
+    }
+
+    @Test
+    void retriesAnUnhealthyHostWithoutAnyReport() {
+        PlannerHistory history = new PlannerHistory(false, false);
+        startFleet(history);
+        history.passTo(20_000);
+        history.at(20_000, planner -> {
+            for (int host = 0; host < HOSTS; host++) {
+                planner.hostStatistics(host, 0, 20, host == 3 ? 20 : 0, 100, 1000);
+            }
+        });
+        history.passTo(40_000);
+        assertTrue(history.decisions().stream().anyMatch(d -> d.endsWith("withdraw 3 true")), "it was ejected");
+        assertTrue(history.decisions().stream().anyMatch(d -> d.endsWith("withdraw 3 false")), "and is back");
+    }
+
+    private static void assertSame(List<String> expected, List<String> actual) {
+        for (int i = 0; i < Math.min(expected.size(), actual.size()); i++) {
+            assertEquals(
+                    expected.get(i),
+                    actual.get(i),
+                    "decision " + i + " after " + expected.subList(Math.max(0, i - 3), i));
+        }
+        assertEquals(expected.size(), actual.size());
+    }
+
+    private static void startFleet(PlannerHistory history) {
+        history.at(0, planner -> {
+            planner.beginHostList(true);
+            for (int host = 0; host < HOSTS; host++) {
+                planner.hostReady(host, host % 2, 0, 1, Double.NEGATIVE_INFINITY);
+            }
+            planner.endHostList();
+            for (int proxy = 0; proxy < PROXIES; proxy++) {
+                planner.joined(proxy, proxy % 2, 3);
+            }
+        });
+    }
+
+    /** Some minutes of lists, joins, ends and reports at random, with pauses of up to two minutes among them. */
+    private static PlannerHistory history(long seed, boolean everyTick) {
+        Random random = new Random(seed);
+        PlannerHistory history = new PlannerHistory(everyTick, random.nextBoolean());
+        startFleet(history);
+        int at = 0;
+        for (int event = 0; event < 40; event++) {
+            at += random.nextInt(4) == 0 ? random.nextInt(120_000) : random.nextInt(400);
+            at += at % 100 == 99 ? 1 : 0; // in the millisecond before a tick an arrival counts as the tick
+            addEvent(history, at, random);
+        }
+        history.passTo(at + 200_000);
+        return history;
+    }
+
+    private static void addEvent(PlannerHistory history, int at, Random random) {
+        int host = random.nextInt(HOSTS + 4);
+        int proxy = random.nextInt(PROXIES);
+        int unmet = HOSTS + 4 + random.nextInt(8);
+        int requests = random.nextInt(50);
+        int failed = random.nextInt(3) == 0 ? random.nextInt(20) : 0;
+        double meanMs = 50 + random.nextInt(1500);
+        switch (random.nextInt(9)) {
+            case 0 ->
+                history.at(at, planner -> {
+                    planner.beginHostList(false);
+                    planner.hostReady(host, host % 2, 0, 1, history.now());
+                    planner.endHostList();
+                });
+            case 1 ->
+                history.at(at, planner -> {
+                    planner.beginHostList(false);
+                    planner.hostDraining(host, host % 2, 0, 1);
+                    planner.endHostList();
+                });
+            case 2 ->
+                history.at(at, planner -> {
+                    planner.beginHostList(true);
+                    for (int listed : List.of(0, 1, 2, 3, 4, host)) {
+                        planner.hostReady(listed, listed % 2, 0, 1, Double.NEGATIVE_INFINITY);
+                    }
+                    planner.endHostList();
+                });
+            case 3 -> history.at(at, planner -> planner.joined(proxy, proxy % 2, 1 + proxy));
+            case 4 -> history.at(at, planner -> planner.lost(proxy));
+            case 5 -> history.at(at, planner -> planner.requestRate(proxy, 0, 1000, requests));
+            case 6 -> history.at(at, planner -> planner.hostStatistics(host, proxy % 2, 20, failed, meanMs, 1000));
+            case 7 ->
+                history.at(at, planner -> {
+                    planner.beginHostList(false);
+                    planner.hostReady(unmet, 0, 0, 1, Double.NEGATIVE_INFINITY); // on probation
+                    planner.endHostList();
+                });
+            default ->
+                history.at(at, planner -> {
+                    for (int each = 0; each < HOSTS; each++) {
+                        planner.hostStatistics(each, each % 2, 20, each == host ? failed : 0, meanMs, 1000);
+                    }
+                });
+        }
+    }
+}
