Steward: ids of removed hosts are used again; state is bound by who is alive

Cause: each host that was ever listed kept an id, and a place in each array of planner, proxies and tables, for ever. Change: HostIds keeps removed hosts while they are no more than those listed (1,024 at least), so that who returns soon is known; then the id is released once no table has a line (Planner.releaseHost) and goes to another host. Reports come by name, so those on a former host count for nobody. A proxy may still shut a forgotten host out; so whoever is listed after a release is let back there with its first line, as hosts of other stewards are.

--- a/src/main/java/linenring/planner/Fleet.java
+++ b/src/main/java/linenring/planner/Fleet.java
@@ -33,6 +33,23 @@
         return grown(outcomesByKind, kind, index -> new Outcomes());
     }
 
+    /** Whether a host has this id. */
+    boolean isKnown(int id) {
+        return id < hosts.size() && !hosts.get(id).released;
+    }
+
+    /** Whether the host is gone and proxies were told so. */
+    boolean isRemoved(int id) {
+        return isKnown(id) && !hosts.get(id).running && !hosts.get(id).mustDrain();
+    }
+
+    /** Puts a blank in the host's place; the host. */
+    Host release(int id) {
+        Host blank = new Host(id);
+        blank.released = true;
+        return hosts.set(id, blank);
+    }
+
     /** Acts on each host for which the condition holds when its turn comes; whether there was one. */
     boolean forEachHost(Predicate<Host> condition, Consumer<Host> action) {
         boolean any = false;
--- a/src/main/java/linenring/planner/Host.java
+++ b/src/main/java/linenring/planner/Host.java
@@ -13,6 +13,8 @@
     boolean told;
     /** Named in the list that is being read. */
     boolean inList;
+    /** Nobody's state: the host that had this id is forgotten, and no other has it yet. */
+    boolean released;
     /** Shut out at the proxies. */
     boolean ejected;
     /** To be shut out for its health. */
@@ -38,6 +40,20 @@
         this.id = id;
     }
 
+    /** The list that is being read names it. */
+    void name() {
+        inList = true;
+        released = false;
+    }
+
+    /** Takes what the list tells of it; a weight of 0 or under stands for none given. */
+    void list(int zone, int kind, double weight) {
+        name();
+        this.zone = zone;
+        this.kind = kind;
+        this.weight = weight > 0 ? weight : 1;
+    }
+
     /** Whether it drains or is gone and proxies have yet to be told. */
     boolean mustDrain() {
         return told && !ejected;
--- a/src/main/java/linenring/planner/Planner.java
+++ b/src/main/java/linenring/planner/Planner.java
@@ -114,10 +114,7 @@
             fadedAt = timer.lastTickBy(now);
             ledger.update(now);
             hosts.forEach(h -> fade(h, keep));
-            for (Zone z : zones) {
-                z.near.scale(keep);
-                z.far.scale(keep);
-            }
+            zones.forEach(z -> z.fade(keep));
         }
     }
 
@@ -153,7 +150,7 @@
     }
 
     public void hostReady(int id, int zone, int kind, double weight, double started) {
-        boolean unmet = !wholeList && id >= hosts.size();
+        boolean unmet = !wholeList && !fleet.isKnown(id);
         Host h = listed(id, zone, kind, weight);
         if (!h.running || started > h.started) { // a new process: what was seen of the old one tells nothing
             h.forgetHealth();
@@ -173,7 +170,7 @@
 
     public void hostRemoved(int id) {
         Host h = fleet.host(id);
-        h.inList = true;
+        h.name();
         if (!settings.goneNeedNotStop() || !h.running) {
             drop(h);
         }
@@ -186,7 +183,18 @@
     }
 
     public void endHostList() {
-        hosts.stream().filter(h -> wholeList && !h.inList).forEach(h -> hostRemoved(h.id));
+        hosts.stream().filter(h -> wholeList && !h.inList && !h.released).forEach(h -> hostRemoved(h.id));
+    }
+
+    /** Forgets a removed host, whose id may then be another's; false while a table has a line for it. */
+    public boolean releaseHost(int id) {
+        boolean isFree = !sliced
+                && fleet.isRemoved(id)
+                && registry.holding(hosts.get(id)).isEmpty();
+        if (isFree) {
+            registry.forget(fleet.release(id));
+        }
+        return isFree;
     }
 
     public void joined(int id, int zone, double usual) {
@@ -246,11 +254,8 @@
 
     private Host listed(int id, int zone, int kind, double weight) {
         Host h = fleet.host(id);
-        h.inList = true;
+        h.list(zone, kind, weight);
         stale = true;
-        h.zone = zone;
-        h.kind = kind;
-        h.weight = weight > 0 ? weight : 1;
         return h;
     }
 
--- a/src/main/java/linenring/planner/TableRegistry.java
+++ b/src/main/java/linenring/planner/TableRegistry.java
@@ -39,6 +39,15 @@
         return table;
     }
 
+    /** Takes a host out of the members of all tables. */
+    void forget(Host host) {
+        for (Table table : tables) {
+            if (table.members != hosts) {
+                table.members.remove(host);
+            }
+        }
+    }
+
     List<Table> holding(Host host) {
         return tables.stream().filter(table -> table.holds(host)).toList();
     }
--- a/src/main/java/linenring/planner/Zone.java
+++ b/src/main/java/linenring/planner/Zone.java
@@ -7,6 +7,11 @@
     /** Until then its proxies keep to hosts of the zone; milliseconds. */
     double cutUntil;
 
+    void fade(double keep) {
+        near.scale(keep);
+        far.scale(keep);
+    }
+
     /** Whether time alone changes nothing here: no sums that fade, no cut that ends. */
     boolean isQuiet(double now) {
         return near.ended == 0 && far.ended == 0 && now >= cutUntil;
--- a/src/main/java/linenring/steward/FleetState.java
+++ b/src/main/java/linenring/steward/FleetState.java
@@ -3,10 +3,8 @@
 import java.util.ArrayList;
 import java.util.Arrays;
 import java.util.BitSet;
-import java.util.HashMap;
 import java.util.LinkedHashSet;
 import java.util.List;
-import java.util.Map;
 import java.util.PriorityQueue;
 import java.util.Set;
 import java.util.TreeMap;
@@ -21,12 +19,11 @@
  */
 final class FleetState implements Commands {
     final List<String> operations;
-    final List<String> words = new ArrayList<>(); // by host
+    final HostIds hostIds = new HostIds();
     final TreeMap<Integer, Table> tables = new TreeMap<>();
     final BitSet out = new BitSet(), outChanged = new BitSet(); // withdrawn hosts; those that changed
     final Order.Level[] everywhere; // levels for all proxies, by operation
     private final Log log;
-    private final Map<String, Integer> hosts = new HashMap<>();
     private final List<Proxy> proxies = new ArrayList<>();
     private final Messages messages = new Messages(this);
     private final PriorityQueue<Double> alarms = new PriorityQueue<>();
@@ -44,17 +41,11 @@
 
     // ---- hosts and proxies
 
-    /** The index of a host that is listed now; a new one gets the next. */
-    int listed(String word) {
-        return hosts.computeIfAbsent(word, w -> {
-            words.add(w);
-            return words.size() - 1;
-        });
-    }
-
-    /** The index of a host, or -1 if it was never listed. */
-    int host(String word) {
-        return hosts.getOrDefault(word, -1);
+    /** Forgets a removed host that no table has a line for: its id is free for another, of whom nothing is known. */
+    void release(int host) {
+        out.clear(host);
+        proxies.forEach(p -> p.forget(host, hostIds.limit()));
+        hostIds.release(host);
     }
 
     boolean isCurrent(int proxy, Stream stream) {
--- a/src/main/java/linenring/steward/Messages.java
+++ b/src/main/java/linenring/steward/Messages.java
@@ -77,7 +77,7 @@
         List<String> said = new ArrayList<>();
         for (int h : hosts) {
             if (p.holds(h) != what) {
-                said.add(fleetState.words.get(h));
+                said.add(fleetState.hostIds.name(h));
                 p.setHolds(h, what);
             }
         }
@@ -99,7 +99,7 @@
     private int tableParts(List<Order.Part> parts, Table t, boolean whole, BitSet alike) {
         List<Order.Line> lines = new ArrayList<>();
         for (int h : t == null ? Set.<Integer>of() : whole ? t.lines.keySet() : t.changed) {
-            lines.add(new Order.Line(fleetState.words.get(h), t.lines.getOrDefault(h, 0.0)));
+            lines.add(new Order.Line(fleetState.hostIds.name(h), t.lines.getOrDefault(h, 0.0)));
         }
         Map<Order.Level, BitSet> levels = new LinkedHashMap<>(); // operations by their level
         alike.stream().filter(k -> whole || t == null || t.levelled.get(k)).forEach(k -> {
--- a/src/main/java/linenring/steward/Proxy.java
+++ b/src/main/java/linenring/steward/Proxy.java
@@ -12,6 +12,8 @@
     /** An order may be lost with a stream; another steward, or an earlier life of this one, may have given it. */
     static final byte UNSURE = 2, FOREIGN = 3;
 
+    private static final int SPARE_HOSTS = 16;
+
     final int id;
     final int[] bound; // table by operation, or -1 for its standing table
     final BitSet rebound = new BitSet(); // operations that were bound since the last send
@@ -19,6 +21,7 @@
     Order next; // its message, once that is made
     private final BitSet everShut = new BitSet(); // hosts that it was ever told to shut out from here
     private boolean foreign; // others may have shut hosts out there
+    private boolean forgot; // hosts were forgotten that it may shut out still
     private byte[] holds = {}; // by host
 
     Proxy(int id, int operations) {
@@ -29,7 +32,7 @@
 
     void joins(Stream on, boolean fresh, boolean sameStream) {
         stream = on;
-        foreign = !fresh && (foreign || !sameStream); // it may have been elsewhere meanwhile
+        foreign = forgot || !fresh && (foreign || !sameStream); // it may have been elsewhere meanwhile
         holds = new byte[0];
         everShut.stream().forEach(h -> setHolds(h, UNSURE)); // what was on its way may be lost
     }
@@ -50,17 +53,31 @@
     }
 
     void setHolds(int host, byte what) {
-        if (host >= holds.length) {
-            int known = holds.length;
-            holds = Arrays.copyOf(holds, host + 16);
-            Arrays.fill(holds, known, holds.length, foreign ? FOREIGN : OPEN);
-        }
+        growTo(host + 1);
         holds[host] = what;
         if (what == SHUT) {
             everShut.set(host);
         }
     }
 
+    private void growTo(int hosts) {
+        if (hosts > holds.length) {
+            int known = holds.length;
+            holds = Arrays.copyOf(holds, hosts + SPARE_HOSTS);
+            Arrays.fill(holds, known, holds.length, foreign ? FOREIGN : OPEN);
+        }
+    }
+
+    /** Of so many hosts one is forgotten. It may return under any id, so of whoever is listed from now on nothing is known. */
+    void forget(int host, int hosts) {
+        growTo(hosts);
+        foreign = true;
+        forgot = true;
+        everShut.clear(host);
+        Arrays.fill(holds, hosts, holds.length, FOREIGN);
+        holds[host] = FOREIGN;
+    }
+
     /** Whether a line that lets the host back must come with its table: this steward once shut it out. */
     boolean mustBeLetBack(int host) {
         return holds(host) == SHUT || holds(host) == UNSURE;
--- a/src/main/java/linenring/steward/Steward.java
+++ b/src/main/java/linenring/steward/Steward.java
@@ -66,6 +66,21 @@
             log.warn("steward", dropped + " sums were dropped, as they came faster than they could be taken");
         }
         settle();
+        decide(this::releaseRemovedHosts);
+    }
+
+    /** How many host ids there are, those that are free included. */
+    int hostIds() {
+        return fleetState.hostIds.limit();
+    }
+
+    /** Removed hosts beyond those that are kept are forgotten, once no table has a line for them. */
+    private void releaseRemovedHosts() {
+        int host = fleetState.hostIds.surplus();
+        while (host != HostIds.NONE && planner.releaseHost(host)) {
+            fleetState.release(host);
+            host = fleetState.hostIds.surplus();
+        }
     }
 
     private void settle() {
@@ -95,7 +110,7 @@
                     planner.barrierAcknowledged(a.proxy(), a.mark(), a.tookMs());
                 }
             } else if (what instanceof Arrival.HostSums s) {
-                int host = fleetState.host(s.host());
+                int host = fleetState.hostIds.find(s.host());
                 if (host >= 0) {
                     planner.hostStatistics(host, s.zone(), s.total(), s.bad(), s.meanMs(), s.spanMs());
                 }
@@ -134,17 +149,33 @@
     /** A fault at one entry leaves out that entry, and nobody goes for not being named, as in a list with a spoilt one. */
     @Override
     public void listed(HostList list) {
-        boolean opened =
-                decide(() -> planner.beginHostList(list.whole() && list.spoilt().isEmpty()));
+        boolean opened = decide(() -> beginList(list.whole() && list.spoilt().isEmpty()));
         long faults =
                 list.entries().stream().filter(e -> !decide(() -> listed(e))).count();
         if (opened && faults == 0) {
-            decide(planner::endHostList);
+            decide(() -> endList(list.whole() && list.spoilt().isEmpty()));
         }
     }
 
+    private void beginList(boolean whole) {
+        fleetState.hostIds.beginList();
+        planner.beginHostList(whole);
+    }
+
+    private void endList(boolean whole) {
+        if (whole) {
+            fleetState.hostIds.endWholeList();
+        }
+        planner.endHostList();
+    }
+
     private void listed(HostList.Entry e) {
-        int host = fleetState.listed(e.host());
+        int host = fleetState.hostIds.assign(e.host());
+        if (e.state() == HostList.State.GONE) {
+            fleetState.hostIds.removed(host);
+        } else {
+            fleetState.hostIds.listed(host);
+        }
         switch (e.state()) {
             case READY -> planner.hostReady(host, e.zone(), e.kind(), e.weight(), e.startedMs());
             case TERMINATING -> planner.hostDraining(host, e.zone(), e.kind(), e.weight());
--- a/src/test/java/linenring/steward/ChannelAccountTest.java
+++ b/src/test/java/linenring/steward/ChannelAccountTest.java
@@ -151,7 +151,8 @@
         planner.clock(now);
         planner.beginHostList(true);
         IntStream.range(0, hosts)
-                .forEach(h -> planner.hostReady(fleetState.listed("s-" + h), h % 3, 0, 1, Double.NEGATIVE_INFINITY));
+                .forEach(h ->
+                        planner.hostReady(fleetState.hostIds.assign("s-" + h), h % 3, 0, 1, Double.NEGATIVE_INFINITY));
         planner.endHostList();
         int next = hosts;
         for (int round = 0; round < 900; round++) { // 45 s
@@ -179,7 +180,7 @@
                 planner.beginHostList(false);
                 for (int h = 0; h < hosts / 10; h++) {
                     planner.hostDraining(next - hosts + h, (next - hosts + h) % 3, 0, 1);
-                    planner.hostReady(fleetState.listed("s-" + (next + h)), (next + h) % 3, 0, 1, now);
+                    planner.hostReady(fleetState.hostIds.assign("s-" + (next + h)), (next + h) % 3, 0, 1, now);
                 }
                 next += hosts / 10;
                 planner.endHostList();
@@ -204,7 +205,8 @@
             deliver(fleetState, planner);
             planner.beginHostList(false);
             if (round == 400) { // a release: half as many come, and their ramp fills what ordinary lines may
-                IntStream.range(60, 90).forEach(h -> planner.hostReady(fleetState.listed("s-" + h), h % 3, 0, 1, now));
+                IntStream.range(60, 90)
+                        .forEach(h -> planner.hostReady(fleetState.hostIds.assign("s-" + h), h % 3, 0, 1, now));
             } else if (round > 400 && round % 20 == 10) {
                 for (int h = round / 20 * 3 - 60; h < round / 20 * 3 - 57; h++) {
                     planner.hostDraining(h, h % 3, 0, 1);
@@ -275,7 +277,7 @@
             planner.beginHostList(false);
             if (round == 360 || round == 420) {
                 for (int h = 0; h < replaced; h++, next++) {
-                    planner.hostReady(fleetState.listed("s-" + next), next % 3, 0, 1, now);
+                    planner.hostReady(fleetState.hostIds.assign("s-" + next), next % 3, 0, 1, now);
                 }
             } else if (round == 400 || round == 460) {
                 for (int h = next - hosts - replaced; h < next - hosts; h++) {
@@ -360,7 +362,8 @@
     private void begin(FleetState fleetState, Planner planner, int hosts, double started, int proxies, boolean fresh) {
         planner.clock(now);
         planner.beginHostList(true);
-        IntStream.range(0, hosts).forEach(h -> planner.hostReady(fleetState.listed("s-" + h), h % 3, 0, 1, started));
+        IntStream.range(0, hosts)
+                .forEach(h -> planner.hostReady(fleetState.hostIds.assign("s-" + h), h % 3, 0, 1, started));
         planner.endHostList();
         join(fleetState, planner, proxies, fresh);
     }
--- a/src/test/java/linenring/steward/FleetStateTest.java
+++ b/src/test/java/linenring/steward/FleetStateTest.java
@@ -45,7 +45,7 @@
 
     private FleetState fleet() {
         for (int h = 0; h < 3; h++) {
-            fleetState.listed("s-" + h);
+            fleetState.hostIds.assign("s-" + h);
             fleetState.line(7, h, 1);
         }
         return fleetState;
@@ -116,7 +116,7 @@
 
     @Test
     void operationsOnOtherTablesOrLevelsGetPartsOfTheirOwn() {
-        fleetState.listed("s-0");
+        fleetState.hostIds.assign("s-0");
         fleetState.line(7, 0, 1);
         fleetState.line(8, 0, 0.5);
         fleetState.level(7, 1, 0.7, RetryPolicy.NONE);
@@ -249,7 +249,7 @@
     @Test
     void aTableOfTensOfThousandsOfHostsGoesInSeveralParts() {
         for (int h = 0; h < 25_000; h++) {
-            fleetState.listed("s-" + h);
+            fleetState.hostIds.assign("s-" + h);
             fleetState.line(7, h, 1);
         }
         fleetState.joined(0, way, true);
@@ -268,7 +268,7 @@
     @Test
     void aLineForAHostThatWasWithdrawnWhileInNoTableShutsItOutAtOnce() {
         bound();
-        fleetState.listed("s-3");
+        fleetState.hostIds.assign("s-3");
         fleetState.withdraw(3, true);
         fleetState.send();
         assertEquals(1, way.commands.size()); // it holds no line of it
--- /dev/null
+++ b/src/test/java/linenring/steward/HostIdsTest.java
@@ -0,0 +1,71 @@
+package linenring.steward;
+
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertNotEquals;
+
+import org.junit.jupiter.api.Test;
+
+class HostIdsTest {
+    private static final int RETAINED = 1024;
+
+    private final HostIds ids = new HostIds();
+
+    private int list(String host) {
+        int id = ids.assign(host);
+        ids.listed(id);
+        return id;
+    }
+
+    @Test
+    void keepsTheIdOfAHostThatReturnsSoon() {
+        int id = list("s-1");
+        ids.removed(id);
+        assertEquals(HostIds.NONE, ids.surplus());
+        assertEquals(id, list("s-1"));
+    }
+
+    @Test
+    void namesTheLongestRemovedHostOnceMoreAreKeptThanOughtToBe() {
+        for (int host = 0; host <= RETAINED; host++) {
+            ids.removed(list("s-" + host));
+        }
+        assertEquals(0, ids.surplus());
+        ids.release(0);
+        assertEquals(HostIds.NONE, ids.surplus());
+    }
+
+    @Test
+    void keepsAsManyRemovedHostsAsAreListed() {
+        for (int host = 0; host < 2 * RETAINED; host++) {
+            list("alive-" + host);
+        }
+        for (int host = 0; host < 2 * RETAINED; host++) {
+            ids.removed(list("gone-" + host));
+        }
+        assertEquals(HostIds.NONE, ids.surplus());
+    }
+
+    @Test
+    void givesAReleasedIdToTheNextHostAndForgetsTheFormer() {
+        int former = list("s-1");
+        list("s-2");
+        ids.removed(former);
+        ids.release(former);
+        assertEquals(HostIds.NONE, ids.find("s-1"));
+        assertEquals(former, list("s-3"));
+        assertEquals("s-3", ids.name(former));
+        assertNotEquals(former, list("s-1"));
+    }
+
+    @Test
+    void takesWhomAWholeListDoesNotNameAsRemoved() {
+        for (int host = 0; host <= RETAINED; host++) {
+            list("s-" + host);
+        }
+        ids.beginList();
+        int other = list("other");
+        ids.endWholeList();
+        assertEquals(0, ids.surplus());
+        ids.removed(other);
+    }
+}
--- /dev/null
+++ b/src/test/java/linenring/steward/ReplacedHostsTest.java
@@ -0,0 +1,113 @@
+package linenring.steward;
+
+import static linenring.steward.StewardFixture.LONG_AGO;
+import static linenring.steward.StewardFixture.host;
+import static linenring.steward.StewardFixture.warmHosts;
+import static org.junit.jupiter.api.Assertions.assertEquals;
+import static org.junit.jupiter.api.Assertions.assertFalse;
+import static org.junit.jupiter.api.Assertions.assertTrue;
+
+import java.util.ArrayList;
+import java.util.Collections;
+import java.util.List;
+import java.util.Set;
+import java.util.stream.Collectors;
+import java.util.stream.IntStream;
+import linenring.message.HostList;
+import linenring.message.HostList.State;
+import org.junit.jupiter.api.Test;
+
+/** What is held is bound by who is alive, however many hosts come and go; ids of removed hosts are used again. */
+class ReplacedHostsTest {
+    private static final int ALIVE = 100;
+    private static final int TURNS = 1000;
+    private static final int REPLACEMENTS = ALIVE * TURNS;
+    private static final int RETAINED = 1024;
+    private static final int PROXIES = 2;
+    private static final double TURN_MS = 1200;
+    /** So many turns later a host's id belongs to another. */
+    private static final int FORGOTTEN_AFTER = 2 * RETAINED / ALIVE;
+
+    private long version = 1;
+
+    @Test
+    void keepsBoundedStateThroughAHundredThousandReplacements() {
+        StewardFixture fixture = started();
+        RecordingProxy late = fixture.proxies.get(1);
+        for (int turn = 1; turn <= TURNS; turn++) {
+            late.silent = turn % 100 < 30; // its answers come when the hosts that they told of are forgotten
+            replaceAll(fixture, turn);
+            if (turn > FORGOTTEN_AFTER) {
+                reportFailures(fixture, turn - FORGOTTEN_AFTER);
+            }
+            fixture.pass(TURN_MS);
+        }
+        late.silent = false;
+        fixture.pass(10_000);
+        assertTrue(fixture.hostIds() <= 3 * ALIVE + RETAINED, fixture.hostIds() + " ids after " + REPLACEMENTS);
+        Set<String> alive = names(TURNS);
+        for (RecordingProxy proxy : fixture.proxies) {
+            assertEquals(alive, proxy.pickable().keySet());
+            assertTrue(
+                    Collections.disjoint(proxy.shutOutAt.keySet(), alive), "reports on former hosts count for nobody");
+        }
+    }
+
+    @Test
+    void letsBackAForgottenHostThatReturns() {
+        StewardFixture fixture = started();
+        int turns = FORGOTTEN_AFTER + 1;
+        for (int turn = 1; turn <= turns; turn++) {
+            replaceAll(fixture, turn);
+            fixture.pass(TURN_MS);
+        }
+        RecordingProxy proxy = fixture.proxies.get(0);
+        assertTrue(proxy.shutOut.contains("s-0"), "the proxy keeps what it was told");
+        List<HostList.Entry> entries = new ArrayList<>(entries(turns));
+        entries.add(host(0, State.READY, LONG_AGO));
+        fixture.exchange.listed(new HostList(++version, true, entries));
+        fixture.pass(TURN_MS);
+        assertTrue(proxy.pickable().containsKey("s-0"));
+        assertFalse(proxy.shutOut.contains("s-0"));
+    }
+
+    @Test
+    void aHostThatReturnsSoonHasItsOldId() {
+        StewardFixture fixture = started();
+        int before = fixture.hostIds();
+        for (int turn = 0; turn < 50; turn++) {
+            State state = turn % 2 == 0 ? State.GONE : State.READY;
+            fixture.exchange.listed(new HostList(++version, false, List.of(host(7, state, LONG_AGO))));
+            fixture.pass(TURN_MS);
+        }
+        assertEquals(before, fixture.hostIds());
+        assertTrue(fixture.proxies.get(0).pickable().containsKey("s-7"));
+    }
+
+    private static StewardFixture started() {
+        StewardFixture fixture = new StewardFixture(warmHosts(1, ALIVE), PROXIES, 4000).joinAll(PROXIES, true);
+        fixture.pass(2000);
+        return fixture;
+    }
+
+    /** All hosts of the turn before are gone and others have come, in one list. */
+    private void replaceAll(StewardFixture fixture, int turn) {
+        fixture.exchange.listed(new HostList(++version, true, entries(turn)));
+    }
+
+    private static List<HostList.Entry> entries(int turn) {
+        return IntStream.range(turn * ALIVE, (turn + 1) * ALIVE)
+                .mapToObj(number -> host(number, State.READY, LONG_AGO))
+                .toList();
+    }
+
+    private static Set<String> names(int turn) {
+        return entries(turn).stream().map(HostList.Entry::host).collect(Collectors.toSet());
+    }
+
+    private static void reportFailures(StewardFixture fixture, int turn) {
+        for (HostList.Entry entry : entries(turn)) {
+            fixture.report(entry.zone(), entry.host(), 50, 50, 0);
+        }
+    }
+}
--- a/src/test/java/linenring/steward/StewardFixture.java
+++ b/src/test/java/linenring/steward/StewardFixture.java
@@ -102,6 +102,10 @@
         }
     }
 
+    int hostIds() {
+        return steward.hostIds();
+    }
+
     /** What the proxies of a zone met at a host within the last second. */
     void report(int zone, String host, int total, int failed, double meanMs) {
         exchange.arrived(null, new Arrival.HostSums(host, zone, total, failed, meanMs, 1000));
