Scale: the runner takes the plan itself, in place of a copy of it

Cause: ScaleRunner.Request and its Bounds repeated ScalePlan. Change: ScaleRunner takes ScalePlan and the build's name; ScalePlan.withSeed.

--- a/src/main/java/linenring/scale/run/ScaleCommand.java
+++ b/src/main/java/linenring/scale/run/ScaleCommand.java
@@ -44,7 +44,9 @@
             return Shutdown.SETTINGS_AT_FAULT;
         }
         RunReport report = new RunReport(arguments.directory());
-        ScaleRun run = new ScaleRunner(request(read.plan()), progress, soFar -> writeRecord(report, soFar)).run();
+        ScalePlan plan =
+                read.plan().withSeed(arguments.seed().orElse(read.plan().seed()));
+        ScaleRun run = new ScaleRunner(plan, arguments.build(), progress, soFar -> writeRecord(report, soFar)).run();
         try {
             report.write(run, arguments.name());
         } catch (IOException e) {
@@ -85,19 +87,4 @@
             notWritten = e;
         }
     }
-
-    private ScaleRunner.Request request(ScalePlan plan) {
-        return new ScaleRunner.Request(
-                arguments.build(),
-                arguments.seed().orElse(plan.seed()),
-                plan.warmUpSeconds(),
-                plan.windowSeconds(),
-                new ScaleRunner.Bounds(
-                        plan.bounds().memoryBytes(),
-                        plan.bounds().processes(),
-                        plan.bounds().seconds()),
-                plan.sweeps(),
-                plan.scenarios(),
-                plan.scenarioWorkload());
-    }
 }
--- a/src/main/java/linenring/scale/run/ScaleRunner.java
+++ b/src/main/java/linenring/scale/run/ScaleRunner.java
@@ -18,6 +18,7 @@
 import linenring.scale.measurement.ScenarioOutcome;
 import linenring.scale.measurement.Sweep;
 import linenring.scale.measurement.Workload;
+import linenring.scale.settings.ScalePlan;
 
 /** A whole run: sweep after sweep, point after point, then the scenarios; it ends by itself within its bound of time. */
 public final class ScaleRunner {
@@ -26,38 +27,8 @@
     private static final String TOO_FEW_PROCESSES = "not run: the run may not start so many processes";
     private static final long STEWARD_BYTES = 256L << 20; // more than its flags let a real one have
 
-    /**
-     * What a run is made of.
-     *
-     * @param build the commit or release that is measured
-     * @param scenarioWorkload under which scenarios are played
-     * @param bounds what the run may use
-     */
-    public record Request(
-            String build,
-            long seed,
-            double warmUpSeconds,
-            double windowSeconds,
-            Bounds bounds,
-            List<Sweep> sweeps,
-            List<Scenario> scenarios,
-            Workload scenarioWorkload) {
-        public Request {
-            sweeps = List.copyOf(sweeps);
-            scenarios = List.copyOf(scenarios);
-        }
-    }
-
-    /**
-     * What a run may use at most.
-     *
-     * @param memoryBytes no point begins where this process uses so much already, with a real steward's share beside it
-     * @param processes this one included
-     * @param seconds no point and no scenario begins that could end later
-     */
-    public record Bounds(long memoryBytes, int processes, double seconds) {}
-
-    private final Request request;
+    private final ScalePlan plan;
+    private final String build;
     private final Progress progress;
     private final Consumer<ScaleRun> soFar;
     private final Instant startedAt = Instant.now();
@@ -65,17 +36,18 @@
     private final List<ScenarioOutcome> scenarios = new ArrayList<>();
 
     /** {@code soFar} is told what there is after each point and each scenario. */
-    public ScaleRunner(Request request, Progress progress, Consumer<ScaleRun> soFar) {
-        this.request = request;
+    public ScaleRunner(ScalePlan plan, String build, Progress progress, Consumer<ScaleRun> soFar) {
+        this.plan = plan;
+        this.build = build;
         this.progress = progress;
         this.soFar = soFar;
     }
 
     public ScaleRun run() throws InterruptedException {
-        for (Sweep sweep : request.sweeps()) {
+        for (Sweep sweep : plan.sweeps()) {
             run(sweep);
         }
-        for (Scenario scenario : request.scenarios()) {
+        for (Scenario scenario : plan.scenarios()) {
             scenarios.add(play(scenario));
             soFar.accept(result());
         }
@@ -94,8 +66,7 @@
     }
 
     private Point measure(double size, Workload workload) throws InterruptedException {
-        PointRunner runner =
-                new PointRunner(request.warmUpSeconds(), request.windowSeconds(), request.seed(), progress);
+        PointRunner runner = new PointRunner(plan.warmUpSeconds(), plan.windowSeconds(), plan.seed(), progress);
         String beyond = beyondBounds(runner.secondsAtLeast(), PointRunner.realStewards(workload));
         if (beyond != null) {
             return new Point(size, workload, null, null, beyond);
@@ -113,20 +84,20 @@
         progress.say("scenario: " + scenario.description());
         String beyond = beyondBounds(ScenarioPlayer.SECONDS_AT_MOST, 1);
         if (beyond != null) {
-            return ScenarioPlayer.failed(scenario, request.scenarioWorkload(), beyond);
+            return ScenarioPlayer.failed(scenario, plan.scenarioWorkload(), beyond);
         }
         try {
-            return new ScenarioPlayer(request.seed(), progress).play(scenario, request.scenarioWorkload());
+            return new ScenarioPlayer(plan.seed(), progress).play(scenario, plan.scenarioWorkload());
         } catch (InterruptedException e) {
             throw e;
         } catch (Exception e) { // whatever it is, it ends this scenario and no more
-            return ScenarioPlayer.failed(scenario, request.scenarioWorkload(), "fault of the measurement: " + e);
+            return ScenarioPlayer.failed(scenario, plan.scenarioWorkload(), "fault of the measurement: " + e);
         }
     }
 
     /** Which bound keeps what takes so many seconds and real stewards from being run, in words, or null. */
     private String beyondBounds(double seconds, int realStewards) {
-        if (request.bounds().processes() < 1 + realStewards) {
+        if (plan.bounds().processes() < 1 + realStewards) {
             return TOO_FEW_PROCESSES;
         }
         if (secondsLeft() < seconds) {
@@ -135,23 +106,23 @@
         System.gc();
         Runtime runtime = Runtime.getRuntime();
         long used = runtime.totalMemory() - runtime.freeMemory();
-        return used + realStewards * STEWARD_BYTES > request.bounds().memoryBytes() ? MEMORY_IS_UP : null;
+        return used + realStewards * STEWARD_BYTES > plan.bounds().memoryBytes() ? MEMORY_IS_UP : null;
     }
 
     private double secondsLeft() {
-        return request.bounds().seconds()
+        return plan.bounds().seconds()
                 - Duration.between(startedAt, Instant.now()).toMillis() / 1000.0;
     }
 
     private ScaleRun result() {
         return new ScaleRun(
-                request.build(),
+                build,
                 startedAt.truncatedTo(ChronoUnit.SECONDS).toString(),
-                request.seed(),
+                plan.seed(),
                 Runtime.getRuntime().availableProcessors(),
                 machine(),
-                request.warmUpSeconds(),
-                request.windowSeconds(),
+                plan.warmUpSeconds(),
+                plan.windowSeconds(),
                 sweeps,
                 scenarios);
     }
--- a/src/main/java/linenring/scale/settings/ScalePlan.java
+++ b/src/main/java/linenring/scale/settings/ScalePlan.java
@@ -26,7 +26,18 @@
         scenarios = List.copyOf(scenarios);
     }
 
-    /** What the run may use at most; beyond it, it ends. */
+    /** The same run with another seed. */
+    public ScalePlan withSeed(long other) {
+        return new ScalePlan(other, warmUpSeconds, windowSeconds, bounds, sweeps, scenarios, scenarioWorkload);
+    }
+
+    /**
+     * What a run may use at most.
+     *
+     * @param memoryBytes no point begins where this process uses so much already, with a real steward's share beside it
+     * @param processes this one included
+     * @param seconds no point and no scenario begins that could end later
+     */
     public record Bounds(long memoryBytes, int processes, double seconds) {}
 
     /** The least time that the sweeps take: warm-up and window of each point. */
--- a/src/test/java/linenring/scale/run/ScaleRunnerTest.java
+++ b/src/test/java/linenring/scale/run/ScaleRunnerTest.java
@@ -9,6 +9,7 @@
 import linenring.scale.measurement.Sweep;
 import linenring.scale.measurement.Variable;
 import linenring.scale.measurement.Workload;
+import linenring.scale.settings.ScalePlan;
 import org.junit.jupiter.api.Test;
 
 class ScaleRunnerTest {
@@ -17,9 +18,8 @@
 
     private final List<ScaleRun> toldSoFar = new ArrayList<>();
 
-    private ScaleRun run(ScaleRunner.Bounds bounds) throws InterruptedException {
-        ScaleRunner.Request request = new ScaleRunner.Request(
-                "b1",
+    private ScaleRun run(ScalePlan.Bounds bounds) throws InterruptedException {
+        ScalePlan plan = new ScalePlan(
                 1,
                 3,
                 5,
@@ -27,10 +27,10 @@
                 List.of(new Sweep(Variable.PROXIES, List.of(4.0, 8.0), WORKLOAD)),
                 List.of(Scenario.IDLE),
                 WORKLOAD);
-        return new ScaleRunner(request, Progress.NONE, toldSoFar::add).run();
+        return new ScaleRunner(plan, "b1", Progress.NONE, toldSoFar::add).run();
     }
 
-    private void assertNothingRuns(ScaleRunner.Bounds bounds, String why) throws InterruptedException {
+    private void assertNothingRuns(ScalePlan.Bounds bounds, String why) throws InterruptedException {
         ScaleRun run = run(bounds);
         assertEquals(
                 List.of(why, why),
@@ -45,17 +45,17 @@
 
     @Test
     void whatNoTimeIsLeftForIsTold() throws InterruptedException {
-        assertNothingRuns(new ScaleRunner.Bounds(ENOUGH_BYTES, 20, 2), "not run: the run's time was up");
+        assertNothingRuns(new ScalePlan.Bounds(ENOUGH_BYTES, 20, 2), "not run: the run's time was up");
     }
 
     @Test
     void whatNoMemoryIsLeftForIsTold() throws InterruptedException {
-        assertNothingRuns(new ScaleRunner.Bounds(1 << 20, 20, 10_000), "not run: the run's memory was up");
+        assertNothingRuns(new ScalePlan.Bounds(1 << 20, 20, 10_000), "not run: the run's memory was up");
     }
 
     @Test
     void whatNoProcessIsLeftForIsTold() throws InterruptedException {
         assertNothingRuns(
-                new ScaleRunner.Bounds(ENOUGH_BYTES, 1, 10_000), "not run: the run may not start so many processes");
+                new ScalePlan.Bounds(ENOUGH_BYTES, 1, 10_000), "not run: the run may not start so many processes");
     }
 }
