Tests: one recording taker and one agent's socket, in place of six copies

Cause: stand-ins for the agent and takers of the exchange stood up to four times in tests of discovery, streams and steward. Change: RecordingTaker and AgentSocket serve them; asserts are the same (versions() fails on whatever is no list, as before). The planner's rules stand in a method of their own.

--- a/src/main/java/linenring/planner/Planner.java
+++ b/src/main/java/linenring/planner/Planner.java
@@ -76,7 +76,11 @@
             addTablesFor(k);
         }
         full = tables.size();
-        rules = List.of(
+        rules = rules();
+    }
+
+    private List<BooleanSupplier> rules() {
+        return List.of(
                 this::senseCut,
                 this::dealParts,
                 () -> bindProxies(true),
--- a/src/test/java/linenring/discovery/AgentFixture.java
+++ b/src/test/java/linenring/discovery/AgentFixture.java
@@ -4,7 +4,6 @@
 
 import java.io.BufferedReader;
 import java.io.InputStreamReader;
-import java.net.InetAddress;
 import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -70,9 +69,7 @@
     }
 
     static ServerSocket agent() throws Exception {
-        ServerSocket agent = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
-        agent.setSoTimeout(20_000);
-        return agent;
+        return AgentSocket.listen();
     }
 
     static InetSocketAddress at(ServerSocket agent) {
--- a/src/test/java/linenring/discovery/DiscoveryMoveTest.java
+++ b/src/test/java/linenring/discovery/DiscoveryMoveTest.java
@@ -1,26 +1,24 @@
 package linenring.discovery;
 
+import static linenring.discovery.AgentFixture.chunk;
+import static linenring.discovery.AgentSocket.WAIT_SECONDS;
+import static linenring.discovery.AgentSocket.accept;
+import static linenring.discovery.AgentSocket.address;
+import static linenring.discovery.AgentSocket.listen;
+import static linenring.discovery.AgentSocket.write;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.BufferedReader;
-import java.io.IOException;
-import java.io.InputStreamReader;
 import java.io.OutputStream;
 import java.io.PrintStream;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import linenring.exchange.Exchange;
-import linenring.exchange.Stream;
+import linenring.exchange.RecordingTaker;
 import linenring.log.Log;
-import linenring.message.Arrival;
 import linenring.message.Codec;
 import linenring.message.HostList;
 import linenring.message.ServiceScope;
@@ -35,7 +33,6 @@
 /** Discovery moves to another address while the old one still tells changes; over loopback. */
 class DiscoveryMoveTest {
     private static final String ANSWER_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-    private static final long WAIT_SECONDS = 20;
 
     private final Exchange exchange = new Exchange();
     private final QueuedThreadPool threads = new QueuedThreadPool(8, 2);
@@ -150,36 +147,6 @@
         return resume;
     }
 
-    private static ServerSocket listen() throws IOException {
-        ServerSocket agent = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
-        agent.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
-        return agent;
-    }
-
-    private static InetSocketAddress address(ServerSocket agent) {
-        return new InetSocketAddress(agent.getInetAddress(), agent.getLocalPort());
-    }
-
-    private static Socket accept(ServerSocket agent, long fromVersion) throws IOException {
-        Socket socket = agent.accept();
-        socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
-        BufferedReader in =
-                new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
-        assertEquals("GET /catalog/members?watch=1&from=" + fromVersion + " HTTP/1.1", in.readLine());
-        while (!in.readLine().isEmpty()) {
-            // request headers
-        }
-        return socket;
-    }
-
-    private static void write(Socket socket, String text) throws IOException {
-        socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
-    }
-
-    private static String chunk(String text) {
-        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
-    }
-
     private static String change(long version) {
         return chunk("{\"version\":" + version + ",\"full\":false,\"servers\":[{\"id\":\"s-1\",\"zone\":\"a\","
                 + "\"kind\":\"m1\",\"state\":\"Terminating\"}]}\n");
@@ -188,23 +155,8 @@
     private void awaitVersion(long version) throws InterruptedException {
         assertTrue(
                 exchange.await(TimeUnit.SECONDS.toNanos(WAIT_SECONDS)), "version " + version + " reaches the exchange");
-        List<Long> versions = new ArrayList<>();
-        exchange.drain(new Exchange.Taker() {
-            @Override
-            public void arrived(Stream from, Arrival what) {
-                throw new AssertionError("only lists are expected");
-            }
-
-            @Override
-            public void ended(Stream which) {
-                throw new AssertionError("only lists are expected");
-            }
-
-            @Override
-            public void listed(HostList list) {
-                versions.add(list.version());
-            }
-        });
-        assertEquals(List.of(version), versions);
+        RecordingTaker taker = new RecordingTaker();
+        exchange.drain(taker);
+        assertEquals(List.of(version), taker.versions());
     }
 }
--- a/src/test/java/linenring/discovery/DiscoverySilenceTest.java
+++ b/src/test/java/linenring/discovery/DiscoverySilenceTest.java
@@ -1,5 +1,6 @@
 package linenring.discovery;
 
+import static linenring.discovery.AgentFixture.chunk;
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertFalse;
 import static org.junit.jupiter.api.Assertions.assertTrue;
@@ -13,9 +14,8 @@
 import java.util.concurrent.TimeoutException;
 import java.util.concurrent.atomic.AtomicLong;
 import linenring.exchange.Exchange;
-import linenring.exchange.Stream;
+import linenring.exchange.RecordingTaker;
 import linenring.log.Log;
-import linenring.message.Arrival;
 import linenring.message.Codec;
 import linenring.message.HostList;
 import linenring.message.ServiceScope;
@@ -78,34 +78,15 @@
             Integer.MAX_VALUE,
             nanos::get);
 
-    private static String chunk(String text) {
-        return Integer.toHexString(text.length()) + "\r\n" + text + "\r\n";
-    }
-
     private static String change(long version) {
         return "{\"version\":" + version + ",\"full\":false,\"servers\":[{\"id\":\"s-1\",\"zone\":\"a\","
                 + "\"kind\":\"m1\",\"state\":\"Ready\"}]}\n";
     }
 
     private List<Long> versions() {
-        List<Long> versions = new ArrayList<>();
-        exchange.drain(new Exchange.Taker() {
-            @Override
-            public void arrived(Stream from, Arrival what) {
-                throw new AssertionError("only lists are expected");
-            }
-
-            @Override
-            public void ended(Stream which) {
-                throw new AssertionError("only lists are expected");
-            }
-
-            @Override
-            public void listed(HostList list) {
-                versions.add(list.version());
-            }
-        });
-        return versions;
+        RecordingTaker taker = new RecordingTaker();
+        exchange.drain(taker);
+        return taker.versions();
     }
 
     /** Serves for hours: a blank line every two seconds, a change each minute. */
--- a/src/test/java/linenring/exchange/ExchangeTest.java
+++ b/src/test/java/linenring/exchange/ExchangeTest.java
@@ -5,30 +5,15 @@
 import static org.junit.jupiter.api.Assertions.assertThrows;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.util.ArrayList;
 import java.util.List;
 import linenring.message.Arrival;
 import linenring.message.HostList;
 import org.junit.jupiter.api.Test;
 
-class ExchangeTest implements Exchange.Taker {
+class ExchangeTest {
     private final Exchange exchange = new Exchange();
-    private final List<Object> taken = new ArrayList<>();
-
-    @Override
-    public void arrived(Stream from, Arrival what) {
-        taken.add(what);
-    }
-
-    @Override
-    public void ended(Stream which) {
-        taken.add("ended");
-    }
-
-    @Override
-    public void listed(HostList list) {
-        taken.add(list);
-    }
+    private final RecordingTaker taker = new RecordingTaker();
+    private final List<Object> taken = taker.taken();
 
     @Test
     void whatIsLeftIsTakenOnceAndInOrder() throws InterruptedException {
@@ -37,7 +22,7 @@
         exchange.listed(list);
         exchange.ended(null);
         assertTrue(exchange.await(0));
-        assertEquals(0, exchange.drain(this));
+        assertEquals(0, exchange.drain(taker));
         assertEquals(List.of(new Arrival.Joining(1, 0, 1, true), list, "ended"), taken);
         assertFalse(exchange.await(0));
     }
@@ -49,9 +34,9 @@
         }
         exchange.arrived(null, new Arrival.Applied(1, 7, 100));
         exchange.ended(null);
-        assertEquals(10_000, exchange.drain(this));
+        assertEquals(10_000, exchange.drain(taker));
         assertEquals(20_002, taken.size());
-        assertEquals(0, exchange.drain(this));
+        assertEquals(0, exchange.drain(taker));
     }
 
     @Test
@@ -63,7 +48,7 @@
                 exchange.arrived(null, new Arrival.Applied(1, 7, 100));
             }
         }
-        exchange.drain(this);
+        exchange.drain(taker);
         assertEquals(new Arrival.Joining(1, 0, 1, true), taken.get(0));
         assertEquals(new Arrival.Usage(1, 0, 10_000, 500), taken.get(1)); // those before it are too old to go by
         assertEquals(new Arrival.Usage(1, 0, 29_999, 500), taken.get(taken.size() - 1));
@@ -79,7 +64,7 @@
             throw new IllegalStateException("a follower's fault");
         });
         assertThrows(IllegalStateException.class, () -> exchange.listed(list));
-        exchange.drain(this);
+        exchange.drain(taker);
         assertEquals(List.of(list), taken);
     }
 }
--- /dev/null
+++ b/src/test/java/linenring/exchange/RecordingTaker.java
@@ -0,0 +1,44 @@
+package linenring.exchange;
+
+import java.util.ArrayList;
+import java.util.List;
+import linenring.message.Arrival;
+import linenring.message.HostList;
+
+/** Keeps what it takes, in order: arrivals, lists, and {@link #ENDED} for each stream's end. */
+public final class RecordingTaker implements Exchange.Taker {
+    public static final String ENDED = "ended";
+
+    private final List<Object> taken = new ArrayList<>();
+
+    public List<Object> taken() {
+        return taken;
+    }
+
+    /** The versions of the lists; nothing else may have come. */
+    public List<Long> versions() {
+        List<Long> versions = new ArrayList<>();
+        for (Object what : taken) {
+            if (!(what instanceof HostList list)) {
+                throw new AssertionError("only lists are expected, and not " + what);
+            }
+            versions.add(list.version());
+        }
+        return versions;
+    }
+
+    @Override
+    public void arrived(Stream from, Arrival what) {
+        taken.add(what);
+    }
+
+    @Override
+    public void ended(Stream which) {
+        taken.add(ENDED);
+    }
+
+    @Override
+    public void listed(HostList list) {
+        taken.add(list);
+    }
+}
--- a/src/test/java/linenring/steward/ReloadDuringDrainsTest.java
+++ b/src/test/java/linenring/steward/ReloadDuringDrainsTest.java
@@ -1,5 +1,10 @@
 package linenring.steward;
 
+import static linenring.discovery.AgentSocket.WAIT_SECONDS;
+import static linenring.discovery.AgentSocket.accept;
+import static linenring.discovery.AgentSocket.address;
+import static linenring.discovery.AgentSocket.listen;
+import static linenring.discovery.AgentSocket.write;
 import static linenring.steward.StewardFixture.GRACE_MS;
 import static linenring.steward.StewardFixture.LONG_AGO;
 import static linenring.steward.StewardFixture.SOCKET_SLACK_MS;
@@ -9,16 +14,10 @@
 import static org.junit.jupiter.api.Assertions.assertEquals;
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
-import java.io.BufferedReader;
-import java.io.IOException;
-import java.io.InputStreamReader;
 import java.io.OutputStream;
 import java.io.PrintStream;
-import java.net.InetAddress;
-import java.net.InetSocketAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
-import java.nio.charset.StandardCharsets;
 import java.util.List;
 import java.util.TreeSet;
 import java.util.concurrent.TimeUnit;
@@ -43,7 +42,6 @@
  */
 class ReloadDuringDrainsTest {
     private static final String ANSWER_HEAD = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
-    private static final long WAIT_SECONDS = 20;
     private static final int HOSTS = 24, PROXIES = 40, DRAINS = 6;
     private static final double LINES_MOST = 280; // the drains find no room together, so that some wait
 
@@ -199,32 +197,6 @@
         assertTrue(fixture.exchange.await(TimeUnit.SECONDS.toNanos(WAIT_SECONDS)), "the list reaches the exchange");
     }
 
-    private static ServerSocket listen() throws IOException {
-        ServerSocket agent = new ServerSocket(0, 5, InetAddress.getLoopbackAddress());
-        agent.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
-        return agent;
-    }
-
-    private static InetSocketAddress address(ServerSocket agent) {
-        return new InetSocketAddress(agent.getInetAddress(), agent.getLocalPort());
-    }
-
-    private static Socket accept(ServerSocket agent, long fromVersion) throws IOException {
-        Socket socket = agent.accept();
-        socket.setSoTimeout((int) TimeUnit.SECONDS.toMillis(WAIT_SECONDS));
-        BufferedReader in =
-                new BufferedReader(new InputStreamReader(socket.getInputStream(), StandardCharsets.US_ASCII));
-        assertEquals("GET /catalog/members?watch=1&from=" + fromVersion + " HTTP/1.1", in.readLine());
-        while (!in.readLine().isEmpty()) {
-            // request headers
-        }
-        return socket;
-    }
-
-    private static void write(Socket socket, String text) throws IOException {
-        socket.getOutputStream().write(text.getBytes(StandardCharsets.US_ASCII));
-    }
-
     private static String wholeWithDrains(long version, int drains) {
         return list(
                 version,
--- a/src/test/java/linenring/streams/ConnectionLossTest.java
+++ b/src/test/java/linenring/streams/ConnectionLossTest.java
@@ -18,11 +18,10 @@
 import java.util.concurrent.CountDownLatch;
 import java.util.concurrent.TimeUnit;
 import linenring.exchange.Exchange;
-import linenring.exchange.Stream;
+import linenring.exchange.RecordingTaker;
 import linenring.log.Log;
 import linenring.message.Arrival;
 import linenring.message.Codec;
-import linenring.message.HostList;
 import linenring.message.Order;
 import linenring.settings.Names;
 import org.eclipse.jetty.io.ByteArrayEndPoint;
@@ -165,7 +164,7 @@
         awaitArrivals(1);
         reset(behind);
         awaitArrivals(2);
-        assertEquals(List.of(new Arrival.Joining(3, 0, 2.5, true), "ended"), arrivals);
+        assertEquals(List.of(new Arrival.Joining(3, 0, 2.5, true), "ended"), taker.taken());
     }
 
     /** The process is told to end while connections are accepted by the kernel alone: their peers hear so and dial elsewhere. */
@@ -269,37 +268,24 @@
             assertTrue(ms >= 2900, "let go after " + ms + " ms"); // proxies stand still for 2 s at times
         }
         awaitArrivals(2002);
-        assertEquals("ended", arrivals.get(arrivals.size() - 1));
+        assertEquals("ended", taker.taken().get(taker.taken().size() - 1));
     }
 
-    private final List<Object> arrivals = new ArrayList<>();
+    private final RecordingTaker taker = new RecordingTaker();
 
     private void awaitArrivals(int count) throws InterruptedException {
         long end = System.nanoTime() + TimeUnit.MILLISECONDS.toNanos(WAIT_MS);
         while (arrivals().size() < count) {
-            assertTrue(System.nanoTime() < end, count + " arrivals, and not " + arrivals.size());
+            assertTrue(
+                    System.nanoTime() < end,
+                    count + " arrivals, and not " + taker.taken().size());
             exchange.await(TimeUnit.MILLISECONDS.toNanos(100));
         }
     }
 
     private List<Object> arrivals() {
-        exchange.drain(new Exchange.Taker() {
-            @Override
-            public void arrived(Stream from, Arrival what) {
-                arrivals.add(what);
-            }
-
-            @Override
-            public void ended(Stream which) {
-                arrivals.add("ended");
-            }
-
-            @Override
-            public void listed(HostList list) {
-                arrivals.add(list);
-            }
-        });
-        return arrivals;
+        exchange.drain(taker);
+        return taker.taken();
     }
 
     /** The selector stands from now on, until the latch is counted down. */
--- a/src/test/java/linenring/streams/FragmentedMessagesTest.java
+++ b/src/test/java/linenring/streams/FragmentedMessagesTest.java
@@ -12,11 +12,10 @@
 import java.util.Arrays;
 import java.util.List;
 import linenring.exchange.Exchange;
-import linenring.exchange.Stream;
+import linenring.exchange.RecordingTaker;
 import linenring.log.Log;
 import linenring.message.Arrival;
 import linenring.message.Codec;
-import linenring.message.HostList;
 import linenring.message.Order;
 import linenring.settings.Names;
 import org.eclipse.jetty.io.ByteArrayEndPoint;
@@ -94,24 +93,9 @@
     }
 
     private List<Object> arrived() {
-        List<Object> arrived = new ArrayList<>();
-        exchange.drain(new Exchange.Taker() {
-            @Override
-            public void arrived(Stream from, Arrival what) {
-                arrived.add(what);
-            }
-
-            @Override
-            public void ended(Stream which) {
-                arrived.add("ended");
-            }
-
-            @Override
-            public void listed(HostList list) {
-                arrived.add(list);
-            }
-        });
-        return arrived;
+        RecordingTaker taker = new RecordingTaker();
+        exchange.drain(taker);
+        return taker.taken();
     }
 
     private static final List<Object> PROXY_OUTCOME = List.of(
