Steward: a removed host that is still of use keeps no other's id

Cause: release stopped at the longest removed host if the planner refused it, for good where gone hosts may go on serving (goneNeedNotStop). Change: the others are released past it.

--- a/src/main/java/linenring/steward/HostIds.java
+++ b/src/main/java/linenring/steward/HostIds.java
@@ -76,11 +76,14 @@
         unnamed.stream().forEach(this::removed);
     }
 
-    /** The longest removed host, if more are kept than ought to be; else {@link #NONE}. */
+    /** How many more removed hosts are kept than ought to be. */
     int surplus() {
-        return removed.size() > Math.max(RETAINED_LEAST, listed.cardinality())
-                ? removed.iterator().next()
-                : NONE;
+        return Math.max(0, removed.size() - Math.max(RETAINED_LEAST, listed.cardinality()));
+    }
+
+    /** The removed hosts, the longest removed first. */
+    List<Integer> removed() {
+        return List.copyOf(removed);
     }
 
     /** Takes a removed host's id from it. */
--- a/src/main/java/linenring/steward/Steward.java
+++ b/src/main/java/linenring/steward/Steward.java
@@ -1,5 +1,6 @@
 package linenring.steward;
 
+import java.util.List;
 import java.util.concurrent.locks.LockSupport;
 import linenring.exchange.Exchange;
 import linenring.exchange.Stream;
@@ -74,12 +75,14 @@
         return fleetState.hostIds.limit();
     }
 
-    /** Removed hosts beyond those that are kept are forgotten, once no table has a line for them. */
+    /** Forgets removed hosts beyond those that are kept, the longest removed first, unless the planner has a use for them. */
     private void releaseRemovedHosts() {
-        int host = fleetState.hostIds.surplus();
-        while (host != HostIds.NONE && planner.releaseHost(host)) {
-            fleetState.release(host);
-            host = fleetState.hostIds.surplus();
+        int surplus = fleetState.hostIds.surplus();
+        for (int host : surplus > 0 ? fleetState.hostIds.removed() : List.<Integer>of()) {
+            if (surplus > 0 && planner.releaseHost(host)) {
+                fleetState.release(host);
+                surplus--;
+            }
         }
     }
 
