Steward: after a fault in the decisions it decides again, though nothing arrives

Cause: since a round is left out where nothing arrived and no call is due. Steward.run, the continue behind exchange.await. Change: after a round with a fault the next comes within a second (LONGEST_WAIT_MS).

--- a/src/main/java/linenring/steward/Steward.java
+++ b/src/main/java/linenring/steward/Steward.java
@@ -13,12 +13,16 @@
 
 /** The one thread that owns the decisions: takes all that has come, calls them, settles once, sends. */
 public final class Steward implements Exchange.Taker {
+    /** After a fault it decides again so late at most, though nothing arrives. */
+    private static final double LONGEST_WAIT_MS = 1000;
+
     private final Exchange exchange;
     private final Log log;
     private final double quantum;
     private final Clock clock;
     private final FleetState fleetState;
     private final Planner planner;
+    private boolean settled; // the last round had no fault; after one the planner may have asked for no call
 
     public Steward(PlannerSettings figures, Names names, HostList known, Exchange exchange, Log log) {
         this(figures, names, known, exchange, log, new Clock());
@@ -43,8 +47,9 @@
         try {
             while (true) {
                 double last = clock.now();
-                boolean arrived = exchange.await((long) (Math.min(1000, fleetState.nextAlarm() - last) * 1e6));
-                if (!arrived && fleetState.nextAlarm() > clock.now()) {
+                boolean arrived =
+                        exchange.await((long) (Math.min(LONGEST_WAIT_MS, fleetState.nextAlarm() - last) * 1e6));
+                if (!arrived && settled && fleetState.nextAlarm() > clock.now()) {
                     continue; // nothing is due
                 }
                 long early = (long) ((last + quantum - clock.now()) * 1e6); // no closer than the settings say
@@ -87,8 +92,8 @@
     }
 
     private void settle() {
-        decide(planner::reconcile);
-        decide(fleetState::send);
+        boolean decided = decide(planner::reconcile);
+        settled = decide(fleetState::send) && decided;
     }
 
     /** A fault in one decision is told and must not end the others; false where there was one. */
