--- a/src/test/java/linenring/discovery/DiscoveryMoveTest.java
+++ b/src/test/java/linenring/discovery/DiscoveryMoveTest.java
@@ -65,18 +65,7 @@
     private void moveWithAnUnreadChange() throws Exception {
         try (ServerSocket oldAgent = listen();
                 ServerSocket newAgent = listen()) {
-            HostWatch watch = new HostWatch(
-                    address(oldAgent),
-                    ServiceScope.ALL,
-                    new HostList(41, true, List.of()),
-                    codec,
-                    exchange,
-                    new Log(new PrintStream(OutputStream.nullOutputStream())),
-                    threads,
-                    scheduler,
-                    why -> {
-                        throw new AssertionError(why);
-                    });
+            HostWatch watch = watch(oldAgent);
             watch.open();
             try (Socket old = accept(oldAgent, 41)) {
                 write(old, ANSWER_HEAD + change(42));
@@ -102,18 +91,7 @@
     void asksAgainFromTheVersionHeldWhereTheOldAddressBreaksDuringTheMove() throws Exception {
         try (ServerSocket oldAgent = listen();
                 ServerSocket newAgent = listen()) {
-            HostWatch watch = new HostWatch(
-                    address(oldAgent),
-                    ServiceScope.ALL,
-                    new HostList(41, true, List.of()),
-                    codec,
-                    exchange,
-                    new Log(new PrintStream(OutputStream.nullOutputStream())),
-                    threads,
-                    scheduler,
-                    why -> {
-                        throw new AssertionError(why);
-                    });
+            HostWatch watch = watch(oldAgent);
             watch.open();
             try (Socket old = accept(oldAgent, 41)) {
                 write(old, ANSWER_HEAD + change(42));
@@ -133,6 +111,22 @@
         }
     }
 
+    /** From version 41 on. */
+    private HostWatch watch(ServerSocket agent) {
+        return new HostWatch(
+                address(agent),
+                ServiceScope.ALL,
+                new HostList(41, true, List.of()),
+                codec,
+                exchange,
+                new Log(new PrintStream(OutputStream.nullOutputStream())),
+                threads,
+                scheduler,
+                why -> {
+                    throw new AssertionError(why);
+                });
+    }
+
     private static CountDownLatch holdSelector(HostWatch watch) throws InterruptedException {
         CountDownLatch held = new CountDownLatch(1), resume = new CountDownLatch(1);
         watch.getBeans(ManagedSelector.class).iterator().next().submit(selector -> {
--- a/src/test/java/linenring/discovery/DiscoverySilenceTest.java
+++ b/src/test/java/linenring/discovery/DiscoverySilenceTest.java
@@ -63,20 +63,24 @@
     private final Exchange exchange = new Exchange();
     private final RecordingScheduler scheduler = new RecordingScheduler();
     private final AtomicLong nanos = new AtomicLong(Long.MAX_VALUE - TimeUnit.HOURS.toNanos(1)); // it wraps meanwhile
-    private final HostWatch watch = new HostWatch(
-            new InetSocketAddress("127.0.0.1", 8500),
-            ServiceScope.ALL,
-            new HostList(1, true, List.of()),
-            new Codec(new Names(List.of("a"), List.of("m1"), List.of("lookup"), 9, 4)),
-            exchange,
-            new Log(new PrintStream(OutputStream.nullOutputStream())),
-            Runnable::run,
-            scheduler,
-            why -> {
-                throw new AssertionError(why);
-            },
-            Integer.MAX_VALUE,
-            nanos::get);
+    private final HostWatch watch = watch(1);
+
+    private HostWatch watch(long version) {
+        return new HostWatch(
+                new InetSocketAddress("127.0.0.1", 8500),
+                ServiceScope.ALL,
+                new HostList(version, true, List.of()),
+                new Codec(new Names(List.of("a"), List.of("m1"), List.of("lookup"), 9, 4)),
+                exchange,
+                new Log(new PrintStream(OutputStream.nullOutputStream())),
+                Runnable::run,
+                scheduler,
+                why -> {
+                    throw new AssertionError(why);
+                },
+                Integer.MAX_VALUE,
+                nanos::get);
+    }
 
     private static String change(long version) {
         return "{\"version\":" + version + ",\"full\":false,\"servers\":[{\"id\":\"s-1\",\"zone\":\"a\","
@@ -175,20 +179,7 @@
     void isReadTheSameWhereverItsAnswerIsCutInTwo() {
         String answer = ANSWER_HEAD + chunk("\n") + chunk(change(42) + change(43)) + chunk("\r\n");
         for (int cut = 1; cut < answer.length(); cut++) {
-            HostWatch watch = new HostWatch(
-                    new InetSocketAddress("127.0.0.1", 8500),
-                    ServiceScope.ALL,
-                    new HostList(41, true, List.of()),
-                    new Codec(new Names(List.of("a"), List.of("m1"), List.of("lookup"), 9, 4)),
-                    exchange,
-                    new Log(new PrintStream(OutputStream.nullOutputStream())),
-                    Runnable::run,
-                    scheduler,
-                    why -> {
-                        throw new AssertionError(why);
-                    },
-                    Integer.MAX_VALUE,
-                    nanos::get);
+            HostWatch watch = watch(41);
             Agent agent = new Agent(watch, "/");
             agent.addInput(answer.substring(0, cut));
             agent.addInput(answer.substring(cut));
--- a/src/test/java/linenring/discovery/HostWatchTest.java
+++ b/src/test/java/linenring/discovery/HostWatchTest.java
@@ -19,7 +19,6 @@
 import java.net.ServerSocket;
 import java.net.Socket;
 import java.net.SocketTimeoutException;
-import java.util.ArrayList;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
 import java.util.concurrent.TimeoutException;
@@ -27,9 +26,8 @@
 import linenring.discovery.AgentFixture.Agent;
 import linenring.discovery.AgentFixture.Waits;
 import linenring.exchange.Exchange;
-import linenring.exchange.Stream;
+import linenring.exchange.RecordingTaker;
 import linenring.log.Log;
-import linenring.message.Arrival;
 import linenring.message.Codec;
 import linenring.message.HostList;
 import linenring.message.ServiceScope;
@@ -64,24 +62,9 @@
     }
 
     private List<Long> versions() {
-        List<Long> versions = new ArrayList<>();
-        exchange.drain(new Exchange.Taker() {
-            @Override
-            public void arrived(Stream from, Arrival what) {
-                throw new AssertionError();
-            }
-
-            @Override
-            public void ended(Stream which) {
-                throw new AssertionError();
-            }
-
-            @Override
-            public void listed(HostList list) {
-                versions.add(list.version());
-            }
-        });
-        return versions;
+        RecordingTaker taker = new RecordingTaker();
+        exchange.drain(taker);
+        return taker.versions();
     }
 
     @Test
--- a/src/test/java/linenring/discovery/ScopedWatchFixture.java
+++ b/src/test/java/linenring/discovery/ScopedWatchFixture.java
@@ -17,9 +17,8 @@
 import java.util.concurrent.atomic.AtomicLong;
 import linenring.discovery.AgentFixture.Waits;
 import linenring.exchange.Exchange;
-import linenring.exchange.Stream;
+import linenring.exchange.RecordingTaker;
 import linenring.log.Log;
-import linenring.message.Arrival;
 import linenring.message.Codec;
 import linenring.message.HostList;
 import linenring.message.ServiceScope;
@@ -122,22 +121,9 @@
 
     /** The hosts as whoever follows the exchange has them now. */
     String hosts() {
-        exchange.drain(new Exchange.Taker() {
-            @Override
-            public void arrived(Stream from, Arrival what) {
-                throw new AssertionError();
-            }
-
-            @Override
-            public void ended(Stream which) {
-                throw new AssertionError();
-            }
-
-            @Override
-            public void listed(HostList list) {
-                take(list);
-            }
-        });
+        RecordingTaker taker = new RecordingTaker();
+        exchange.drain(taker);
+        taker.lists().forEach(this::take);
         return String.join(" ", new TreeSet<>(hosts.keySet()));
     }
 
--- a/src/test/java/linenring/exchange/RecordingTaker.java
+++ b/src/test/java/linenring/exchange/RecordingTaker.java
@@ -15,16 +15,21 @@
         return taken;
     }
 
-    /** The versions of the lists; nothing else may have come. */
-    public List<Long> versions() {
-        List<Long> versions = new ArrayList<>();
+    /** The lists; nothing else may have come. */
+    public List<HostList> lists() {
+        List<HostList> lists = new ArrayList<>();
         for (Object what : taken) {
             if (!(what instanceof HostList list)) {
                 throw new AssertionError("only lists are expected, and not " + what);
             }
-            versions.add(list.version());
+            lists.add(list);
         }
-        return versions;
+        return lists;
+    }
+
+    /** Their versions; nothing else may have come. */
+    public List<Long> versions() {
+        return lists().stream().map(HostList::version).toList();
     }
 
     @Override
