Review: ports of the scripts lie below the system's own range

Cause: case 3 once ended with exit code 2, since another socket had taken the gateway's port before it listened.

--- a/review/standins/Lab.java
+++ b/review/standins/Lab.java
@@ -3,7 +3,6 @@
 import java.io.IOException;
 import java.io.InputStreamReader;
 import java.io.PrintWriter;
-import java.io.UncheckedIOException;
 import java.net.InetAddress;
 import java.net.ServerSocket;
 import java.net.Socket;
@@ -13,6 +12,7 @@
 import java.util.Comparator;
 import java.util.List;
 import java.util.concurrent.CopyOnWriteArrayList;
+import java.util.concurrent.ThreadLocalRandom;
 import java.util.concurrent.TimeUnit;
 import java.util.stream.Stream;
 
@@ -20,6 +20,9 @@
 final class Lab implements AutoCloseable {
     static final boolean TROUBLE = !"0".equals(System.getenv("TROUBLE"));
     private static final long READY_MS = 30_000;
+    private static final int MIN_PORT = 21_000;
+    private static final int MAX_PORT = 31_000;
+    private static final int MAX_PORT_ATTEMPTS = 100;
 
     /** The classes of a small deployment, after the example of the settings in WIRE; times in microseconds. */
     private static final String CLASSES = "{\"Name\":\"quote\",\"Aim\":750000,\"Deadline\":2000000,\"Points\":2.0},"
@@ -45,12 +48,17 @@
         note("trouble: " + (TROUBLE ? "on" : "off"));
     }
 
+    /** Returns a free port below the range from which the system gives ports to other sockets of the case meanwhile. */
     static int freePort() {
-        try (ServerSocket socket = new ServerSocket(0, 1, InetAddress.getLoopbackAddress())) {
-            return socket.getLocalPort();
-        } catch (IOException failure) {
-            throw new UncheckedIOException(failure);
+        for (int attempt = 0; attempt < MAX_PORT_ATTEMPTS; attempt++) {
+            int port = ThreadLocalRandom.current().nextInt(MIN_PORT, MAX_PORT);
+            try (ServerSocket socket = new ServerSocket(port, 1, InetAddress.getLoopbackAddress())) {
+                return socket.getLocalPort();
+            } catch (IOException taken) {
+                // another port is tried
+            }
         }
+        throw new IllegalStateException("no free port");
     }
 
     double nowS() {
