--- a/review/standins/Discovery.java
+++ b/review/standins/Discovery.java
@@ -71,6 +71,7 @@
     private final Set<HttpExchange> watches = ConcurrentHashMap.newKeySet();
     private final List<String> written = new ArrayList<>(); // guarded by itself
     private volatile boolean isClosed;
+    private volatile boolean takesNoMore;
 
     Discovery(Lab lab, Catalogue catalogue, String name) throws IOException {
         this(lab, catalogue, name, 0);
@@ -99,6 +100,11 @@
     }
 
     private void answer(HttpExchange exchange) throws IOException {
+        if (takesNoMore) {
+            lab.note(name + " takes no new connection");
+            exchange.close();
+            return;
+        }
         String query = exchange.getRequestURI().getQuery();
         lab.note(name + " is asked: " + exchange.getRequestURI());
         if (query == null || !query.contains("watch=1")) {
@@ -152,6 +158,11 @@
         }
     }
 
+    /** Closes new connections without an answer from now on, and goes on with the open ones. */
+    void takeNoMore() {
+        takesNoMore = true;
+    }
+
     /** Takes no new connection, and closes the open ones. */
     void close() {
         isClosed = true;
--- a/review/standins/ReloadAtUpgrade.java
+++ b/review/standins/ReloadAtUpgrade.java
@@ -74,6 +74,7 @@
     /** Replaces the configuration and sends SIGHUP to the process that "run" started; the old address closes after 1.5 s. */
     private static void moveDiscovery(Lab lab, Discovery oldAddress, Discovery newAddress, Process first) throws Exception {
         lab.writeConfiguration(newAddress.address(), null);
+        oldAddress.takeNoMore();
         lab.note("the configuration names discovery B; SIGHUP to process " + first.pid());
         Lab.signal("HUP", first.pid());
         Lab.pause(1.5);
--- a/review/standins/TinyFrames.java
+++ b/review/standins/TinyFrames.java
@@ -41,6 +41,7 @@
         lab.note("answers to the steady client before: " + caller.takeOutcomes());
         int frameBytes = Lab.TROUBLE ? 1 : BYTES_PER_TURN;
         try (TestClient client = new TestClient(lab.gatewayPort)) {
+            Lab.pause(1); // the gateway's SETTINGS and its window of the connection have arrived by then
             List<Integer> uploads = new ArrayList<>();
             for (int i = 0; i < UPLOADS; i++) {
                 uploads.add(client.sendHeaders("POST", "/book", false));
