Gateway: small DATA frames take the memory of their bytes, not of their number

Cause: the frames of a body stay in Jetty's queue of the stream until the frame before was written. The stream's window limits their bytes, and `in-all` the sum of windows; what is held goes by frames. A frame also holds its network buffer: 2,000 one-byte frames that arrive alone hold 40.6 MB of direct memory.

Mend: ReceiveBuffer copies each frame on arrival into chunks that small frames share, and releases it. DeferredFlowControl opens the windows when the bytes are forwarded, so that the window still limits what is held. Both directions use it. Data of a rejected request is dropped on arrival by Jetty (shown by a probe), so nothing had to change there.

--- a/src/main/java/linenring/gateway/Attempt.java
+++ b/src/main/java/linenring/gateway/Attempt.java
@@ -65,10 +65,6 @@
         return hasOutcome && !responseForwarder.isStarted();
     }
 
-    void requestDataAvailable() {
-        requestBodyForwarder.dataAvailable();
-    }
-
     void forwardRequestBody() {
         requestBodyForwarder.sendNext();
     }
@@ -121,6 +117,7 @@
     /** Called by Jetty within {@code newStream}, before anything is written to the stream. */
     @Override
     public void onNewStream(Stream openedStream) {
+        ReceiveBuffer.attachTo(openedStream);
         createdStream = openedStream;
     }
 
@@ -174,7 +171,9 @@
 
     @Override
     public void onDataAvailable(Stream hostStream) {
-        request.execute(responseForwarder::forwardNext);
+        if (ReceiveBuffer.of(hostStream).receive()) {
+            request.execute(responseForwarder::forwardNext);
+        }
     }
 
     @Override
@@ -241,6 +240,7 @@
         } else if (!hasOutcome) {
             hasOutcome = true;
             deadlineTask.cancel();
+            discardResponse();
             recordAttempt(!failure.countsAgainstHost());
             request.attemptFailed(failure);
         }
@@ -270,12 +270,21 @@
      * that is still being opened is reset as soon as it is open.
      */
     private void cancelStream() {
+        discardResponse();
         boolean isComplete = responseForwarder.isComplete() && requestBodyForwarder.isEndSent();
         if (stream != null && !stream.isReset() && !stream.isClosed() && !isComplete) {
             Responses.reset(stream, ErrorCode.CANCEL_STREAM_ERROR);
         }
     }
 
+    /** Discards the response data that was not forwarded, and what the host sends until its stream is closed. */
+    private void discardResponse() {
+        ReceiveBuffer received = ReceiveBuffer.of(createdStream);
+        if (received != null) {
+            received.close();
+        }
+    }
+
     private void releaseStream() {
         if (connection != null && !hasReleasedStream) {
             hasReleasedStream = true;
--- a/src/main/java/linenring/gateway/GatewayTransport.java
+++ b/src/main/java/linenring/gateway/GatewayTransport.java
@@ -95,6 +95,7 @@
         http.setRequestHeaderSize(clients.maxHeaderBytes());
         RawHTTP2ServerConnectionFactory http2 = new RawHTTP2ServerConnectionFactory(http, sessions);
         http2.setMaxConcurrentStreams(clients.maxStreams());
+        http2.setFlowControlStrategyFactory(DeferredFlowControl::new);
         http2.setInitialStreamRecvWindow(settings.body().streamWindowBytes());
         http2.setInitialSessionRecvWindow(sessionWindowBytes(clients.maxStreams()));
         http2.setStreamIdleTimeout(UNLIMITED); // attempts, stalls and idle sessions have timeouts of their own
@@ -108,6 +109,7 @@
         dialer.setExecutor(threads);
         dialer.setScheduler(scheduler);
         dialer.setSelectors(SELECTORS);
+        client.setFlowControlStrategyFactory(DeferredFlowControl::new);
         client.setInitialStreamRecvWindow(settings.body().streamWindowBytes());
         client.setInitialSessionRecvWindow(sessionWindowBytes(settings.pool().maxStreams()));
         client.setConnectTimeout((long) Math.ceil(settings.dialTimeoutMs()));
--- a/src/main/java/linenring/gateway/ProxiedRequest.java
+++ b/src/main/java/linenring/gateway/ProxiedRequest.java
@@ -93,11 +93,13 @@
 
     @Override
     public void onDataAvailable(Stream stream) {
-        execute(() -> {
-            if (currentAttempt != null) {
-                currentAttempt.requestDataAvailable();
-            }
-        });
+        if (body().receive()) {
+            execute(() -> {
+                if (currentAttempt != null) {
+                    currentAttempt.forwardRequestBody();
+                }
+            });
+        }
     }
 
     @Override
@@ -198,7 +200,7 @@
         if (lastAttempt != null) {
             lastAttempt.abandon();
         }
-        body().discardRetained();
+        body().close();
         onEnd.accept(this);
     }
 
--- a/src/main/java/linenring/gateway/RequestBodyForwarder.java
+++ b/src/main/java/linenring/gateway/RequestBodyForwarder.java
@@ -25,7 +25,6 @@
     private byte[] replayBytes = {};
     private int replayPosition;
     private boolean isWriting;
-    private boolean hasDemandedData;
     private boolean endSent; // a frame with END_STREAM was handed to Jetty
 
     /** Creates a forwarder that sends nothing more once {@code isStopped} returns true. */
@@ -54,11 +53,6 @@
         return endSent;
     }
 
-    void dataAvailable() {
-        hasDemandedData = false;
-        sendNext();
-    }
-
     /** Sends the next part of the body, if one is available and no write is in progress. */
     void sendNext() {
         if (isStopped.getAsBoolean() || isWriting || hostStream == null || hostStream.isReset()) {
@@ -70,7 +64,7 @@
             if (body.hasTrailers()) {
                 sendTrailers();
             }
-        } else if (!hasDemandedData) {
+        } else {
             sendFromClient();
         }
     }
@@ -91,18 +85,16 @@
     }
 
     private void sendFromClient() {
-        Stream.Data data = body.read();
-        if (data == null) {
-            hasDemandedData = true;
-            return;
+        ReceiveBuffer.Chunk chunk = body.read();
+        if (chunk == null) {
+            return; // the body notifies the request when more data arrives
         }
-        ByteBuffer bytes = data.frame().getByteBuffer();
-        if (body.isFullyRead() && body.hasTrailers() && !bytes.hasRemaining()) {
-            data.release();
-            sendNext();
+        int length = chunk.bytes().remaining();
+        if (chunk.isLast() && body.hasTrailers() && length == 0) {
+            sendTrailers();
         } else {
-            boolean isLast = body.isFullyRead() && !body.hasTrailers();
-            write(new DataFrame(hostStream.getId(), bytes, isLast), data::release);
+            boolean isLast = chunk.isLast() && !body.hasTrailers();
+            write(new DataFrame(hostStream.getId(), chunk.bytes(), isLast), () -> body.forwarded(length));
         }
     }
 
--- a/src/main/java/linenring/gateway/RequestDispatcher.java
+++ b/src/main/java/linenring/gateway/RequestDispatcher.java
@@ -84,7 +84,7 @@
                         stream,
                         headers,
                         operation,
-                        new RequestBody(stream, retainedBody, headers.isEndStream()),
+                        new RequestBody(headers.isEndStream() ? null : ReceiveBuffer.attachTo(stream), retainedBody),
                         new StallDetector(maxStallNanos)),
                 decision,
                 services,
--- a/src/main/java/linenring/gateway/ResponseForwarder.java
+++ b/src/main/java/linenring/gateway/ResponseForwarder.java
@@ -20,7 +20,7 @@
     private final ProxiedRequest request;
     private final Stream clientStream;
     private final StallDetector stallDetector;
-    private Stream hostStream; // null until the response headers have arrived
+    private ReceiveBuffer received; // null until the response headers have arrived
     private boolean started;
     private boolean isWritingData;
     private boolean complete;
@@ -43,7 +43,7 @@
     }
 
     void setHostStream(Stream stream) {
-        hostStream = stream;
+        received = ReceiveBuffer.of(stream);
     }
 
     /** Forwards an interim response (RFC 9110, 15.2), except 101, which HTTP/2 does not support (RFC 9113, 8.6). */
@@ -78,36 +78,32 @@
         if (request.hasEnded() || !started || isWritingData || stallDetector.isWritingToClient()) {
             return;
         }
-        Stream.Data data = hostStream.readData();
-        if (data == null) {
+        ReceiveBuffer.Chunk chunk = received.read();
+        if (chunk == null) {
             stallDetector.hostWaitStarted(System.nanoTime());
-            hostStream.demand();
             return;
         }
         stallDetector.hostWaitEnded();
-        if (data.frame().isEndStream()
-                && trailers != null
-                && !data.frame().getByteBuffer().hasRemaining()) {
-            data.release();
+        if (chunk.isLast() && trailers != null && !chunk.bytes().hasRemaining()) {
             sendTrailers();
         } else {
-            forwardData(data);
+            forwardChunk(chunk);
         }
     }
 
-    private void forwardData(Stream.Data data) {
-        boolean isLast = data.frame().isEndStream();
+    private void forwardChunk(ReceiveBuffer.Chunk chunk) {
+        int length = chunk.bytes().remaining();
         isWritingData = true;
         stallDetector.clientWriteStarted(System.nanoTime());
         clientStream.data(
-                new DataFrame(clientStream.getId(), data.frame().getByteBuffer(), isLast && trailers == null),
+                new DataFrame(clientStream.getId(), chunk.bytes(), chunk.isLast() && trailers == null),
                 Callback.from(
                         () -> {
-                            data.release();
-                            request.execute(() -> dataWritten(isLast));
+                            received.forwarded(length);
+                            request.execute(() -> dataWritten(chunk.isLast()));
                         },
                         failure -> {
-                            data.release();
+                            received.forwarded(length);
                             request.execute(request::clientGone);
                         }));
     }
--- a/src/main/java/linenring/testserver/BackendConnection.java
+++ b/src/main/java/linenring/testserver/BackendConnection.java
@@ -209,7 +209,7 @@
             }
             default -> {
                 sendHead(stream, reaction.status(), backendFields(), bytes == 0);
-                sendBody(stream, bytes, true);
+                sendBody(stream, bytes, true, reaction.maxFrameBytes(), 0);
             }
         }
     }
