Gateway: replace a connection whose session Jetty has closed by itself

Cause: headers that cannot be encoded make Jetty close the session. A probe of the client library: the promise of newStream fails with HpackException.SessionException, the session is LOCALLY_CLOSED with its socket open, GOAWAY (COMPRESSION_ERROR) reaches the host, and neither onFailure nor onClose is called. The next newStream fails with "session closed". The pool is not told, so it grants streams on that connection for good. Six other session errors (invalid frames from a host) are reported and close the socket: no mend there.

Mend: UpstreamConnections checks the session before a stream is granted. A closed one is retired, its streams may still end, and the request asks for another connection. Same cause on the client's side: the connection is closed when headers to a client cannot be encoded; before, it stayed open and none of its requests was answered.

--- a/src/main/java/linenring/gateway/ResponseForwarder.java
+++ b/src/main/java/linenring/gateway/ResponseForwarder.java
@@ -49,7 +49,9 @@
     /** Forwards an interim response (RFC 9110, 15.2), except 101, which HTTP/2 does not support (RFC 9113, 8.6). */
     void forwardInterim(MetaData.Response head) {
         if (head.getStatus() != HttpStatus.SWITCHING_PROTOCOLS_101 && !started) {
-            clientStream.headers(new HeadersFrame(clientStream.getId(), head, null, false), Callback.NOOP);
+            clientStream.headers(
+                    new HeadersFrame(clientStream.getId(), head, null, false),
+                    Callback.from(() -> {}, failure -> Responses.closeIfNotEncodable(clientStream, failure)));
         }
     }
 
@@ -127,7 +129,10 @@
     }
 
     private Callback clientCallback(Runnable onSuccess) {
-        return Callback.from(() -> request.execute(onSuccess), failure -> request.execute(request::clientGone));
+        return Callback.from(() -> request.execute(onSuccess), failure -> {
+            Responses.closeIfNotEncodable(clientStream, failure);
+            request.execute(request::clientGone);
+        });
     }
 
     /**
--- a/src/main/java/linenring/gateway/Responses.java
+++ b/src/main/java/linenring/gateway/Responses.java
@@ -9,9 +9,11 @@
 import org.eclipse.jetty.http.HttpVersion;
 import org.eclipse.jetty.http.MetaData;
 import org.eclipse.jetty.http2.ErrorCode;
+import org.eclipse.jetty.http2.HTTP2Session;
 import org.eclipse.jetty.http2.api.Stream;
 import org.eclipse.jetty.http2.frames.HeadersFrame;
 import org.eclipse.jetty.http2.frames.ResetFrame;
+import org.eclipse.jetty.http2.hpack.HpackException;
 import org.eclipse.jetty.util.Callback;
 
 /** Creates the responses that the gateway sends when no host has responded (RFC 9110, 15; RFC 6585, 4). */
@@ -63,7 +65,18 @@
                                 reset(client, ErrorCode.NO_ERROR);
                             }
                         },
-                        failure -> {})); // the client has left and needs no response
+                        failure -> closeIfNotEncodable(client, failure))); // otherwise the client has left
+    }
+
+    /**
+     * Closes the client's connection if the write of headers has failed because they cannot be encoded, such as headers that
+     * exceed the client's limit. Jetty then closes the session, reports no event and waits for the client to close the
+     * connection; without this check no request on the connection would get a response.
+     */
+    static void closeIfNotEncodable(Stream client, Throwable failure) {
+        if (failure instanceof HpackException.SessionException) {
+            ((HTTP2Session) client.getSession()).getEndPoint().close();
+        }
     }
 
     /** Resets a stream (RFC 9113, 6.4). */
--- a/src/main/java/linenring/gateway/UpstreamConnections.java
+++ b/src/main/java/linenring/gateway/UpstreamConnections.java
@@ -118,7 +118,7 @@
         @Override
         public void onGoAway(Session hostSession, GoAwayFrame frame) {
             lastProcessedStream = frame.getLastStreamId();
-            applyToPool(state -> state.connectionGoingAway(this, clock.getAsDouble()));
+            retire();
         }
 
         @Override
@@ -138,6 +138,11 @@
             return false; // the pool decides when an idle connection is closed
         }
 
+        /** Takes no new streams, and closes the session once its active streams have ended. */
+        private void retire() {
+            applyToPool(state -> state.connectionGoingAway(this, clock.getAsDouble()));
+        }
+
         /** Closes the session and its socket at once, since no stream is active on an idle connection. */
         private void closeIdleSession() {
             closeSession(session, ErrorCode.NO_ERROR, "idle");
@@ -184,7 +189,7 @@
             grant = pool.requestStream(waiter, clock.getAsDouble());
         }
         if (grant instanceof ConnectionPool.StreamGrant.Granted<Connection> granted) {
-            waiter.granted(granted.connection());
+            grant(waiter, granted.connection());
         } else if (grant instanceof ConnectionPool.StreamGrant.Rejected<Connection>) {
             waiter.rejected();
         } else if (grant instanceof ConnectionPool.StreamGrant.Queued<Connection> queued
@@ -216,13 +221,27 @@
             actions = event.apply(pool);
         }
         actions.connectionsToClose().forEach(Connection::closeIdleSession);
-        actions.assigned().forEach(assigned -> assigned.waiter().granted(assigned.connection()));
+        actions.assigned().forEach(assigned -> grant(assigned.waiter(), assigned.connection()));
         actions.rejected().forEach(StreamWaiter::rejected);
         if (actions.shouldOpenConnection()) {
             dial();
         }
     }
 
+    /**
+     * Grants a stream on the connection, or requests another one if Jetty has closed the connection's session. Jetty does so
+     * when it cannot encode a frame; it reports no event, and waits for the host to close the connection.
+     */
+    private void grant(StreamWaiter waiter, Connection connection) {
+        if (connection.session().isClosed()) {
+            connection.retire();
+            connection.streamClosed();
+            requestStream(waiter);
+        } else {
+            waiter.granted(connection);
+        }
+    }
+
     private void dial() {
         Connection connection = new Connection();
         InetSocketAddress address = parseAddress(host.address());
--- a/src/test/java/linenring/gateway/FailedStreamsTest.java
+++ b/src/test/java/linenring/gateway/FailedStreamsTest.java
@@ -17,6 +17,7 @@
 import linenring.testserver.Behaviour;
 import linenring.testserver.Reaction;
 import linenring.testserver.TestClient;
+import org.eclipse.jetty.http2.ErrorCode;
 import org.eclipse.jetty.http2.HTTP2Connection;
 import org.eclipse.jetty.http2.HTTP2Session;
 import org.eclipse.jetty.http2.api.Session;
@@ -108,6 +109,33 @@
         }
     }
 
+    /**
+     * Jetty closes a session with a GOAWAY of its own when it cannot encode a frame, reports this to no listener and waits for
+     * the host to close the connection. Guards against a connection that stays in the pool though no stream can be opened on
+     * it: each later request was answered 502.
+     */
+    @Test
+    void replacesConnectionWhoseSessionJettyHasClosed() throws Exception {
+        SlowWriteConnector connector = new SlowWriteConnector();
+        try (GatewayFixture fixture = new GatewayFixture(1, "", () -> new HTTP2Client(connector))) {
+            fixture.backends()
+                    .get(0)
+                    .onPath("/quote/slow", Reaction.of(Behaviour.ANSWER).withDelayMs(500));
+            TestClient client = fixture.connect();
+            int inFlight = client.send("GET", "/quote/slow");
+            client.await(() -> fixture.executions("/quote/slow") == 1, "a request is in flight");
+            EndPoint endPoint = connector.firstEndPoint;
+            ((HTTP2Connection) endPoint.getConnection())
+                    .getSession()
+                    .close(ErrorCode.COMPRESSION_ERROR.code, "cannot encode", Callback.NOOP);
+            for (int i = 0; i < 5; i++) {
+                assertEquals(200, client.call("POST", "/assign").status(), "request " + i);
+            }
+            assertEquals(200, client.await(inFlight).status());
+            client.await(() -> !endPoint.isOpen(), "the connection is closed after its last stream");
+        }
+    }
+
     /** Starts a thread that blocks all writes of the session until {@code mayWrite}, then writes the queued frames. */
     private static Thread startBlockedWriter(
             SlowWriteEndPoint endPoint, HTTP2Session session, CountDownLatch mayWrite) {
--- a/src/test/java/linenring/gateway/MisbehavingClientsTest.java
+++ b/src/test/java/linenring/gateway/MisbehavingClientsTest.java
@@ -32,7 +32,9 @@
     private static final int FLOW_CONTROL_ERROR = 3;
     private static final int STREAM_CLOSED = 5;
     private static final int REFUSED_STREAM = 7;
+    private static final int COMPRESSION_ERROR = 9;
     private static final int ENHANCE_YOUR_CALM = 11;
+    private static final int MAX_HEADER_LIST_SIZE = 6;
 
     private interface Violation {
         void commit(TestClient client) throws IOException;
@@ -207,6 +209,26 @@
         }
     }
 
+    /**
+     * A client accepts fewer bytes of headers than a response has. Guards against a connection that stays open while none of
+     * its requests is answered.
+     */
+    @Test
+    void endsConnectionOfClientThatAcceptsNoHeaders() throws IOException {
+        try (GatewayFixture fixture = new GatewayFixture(1)) {
+            fixture.backends().get(0).onPath("/assign", Reaction.of(Behaviour.HANG));
+            assertEndsViolatorAlone(fixture, Set.of(COMPRESSION_ERROR), client -> {
+                client.frames().sendSettings(MAX_HEADER_LIST_SIZE, 10);
+                client.send("POST", "/assign");
+                client.send("GET", "/quote");
+            });
+            assertEndsViolatorAlone(fixture, Set.of(COMPRESSION_ERROR), client -> {
+                client.frames().sendSettings(MAX_HEADER_LIST_SIZE, 10);
+                client.send("GET", "/no-route");
+            });
+        }
+    }
+
     @Test
     void rejectsWindowsThatOverflowOrDoNotGrow() throws IOException {
         try (GatewayFixture fixture = new GatewayFixture(1)) {
