Gateway: one limit for headers on both sides, and a peer's own limit is respected

Cause: `clients headers` limited what clients may send. Towards hosts the library's defaults applied, 8,192 bytes each way: "Header size 9202 > 8192" from the encoder, traced with a probe. The same cause, each shown by a test: many small fields, responses over 8 KiB, and peers that announce a smaller SETTINGS_MAX_HEADER_LIST_SIZE than headers or trailers have, in both directions. The encoder closes the session in each of these cases.

Mend: `headers` is the limit in both directions on both sides. HeaderListSize (RFC 9113, 6.5.2) compares headers and trailers with the peer's limit before they are handed to the encoder, so that only the request concerned is affected: it goes to another host or is answered 502, a response is replaced by 502, an interim response is left out, and too large trailers reset the request.

TestBackend can announce a limit of headers and send a large response field, for these tests.

Known: a response over 16 KiB still closes its host's connection, as the decoder ends the session.

--- a/src/main/java/linenring/gateway/Attempt.java
+++ b/src/main/java/linenring/gateway/Attempt.java
@@ -78,6 +78,10 @@
             } else if (services.nowMs() > sendDeadlineMs) { // the attempt has waited too long for a connection
                 releaseStream();
                 failed(AttemptFailure.neverSent());
+            } else if (!HeaderListSize.isAccepted(
+                    connection.session(), request.headers().getMetaData())) {
+                releaseStream();
+                failed(AttemptFailure.headersTooLarge());
             } else {
                 openStream();
             }
@@ -163,6 +167,9 @@
                 cancelStream();
             }
             request.retry(send);
+        } else if (step instanceof NextStep.Forward
+                && !HeaderListSize.isAccepted(request.clientStream().getSession(), head)) {
+            request.rejectTooLargeResponse(host);
         } else if (step instanceof NextStep.Forward) {
             services.outcomes().responseStarted(request.operation(), isError);
             responseForwarder.start(head, isLast);
--- a/src/main/java/linenring/gateway/GatewayTransport.java
+++ b/src/main/java/linenring/gateway/GatewayTransport.java
@@ -93,6 +93,7 @@
         GatewaySettings.Clients clients = settings.clients();
         HttpConfiguration http = new HttpConfiguration();
         http.setRequestHeaderSize(clients.maxHeaderBytes());
+        http.setResponseHeaderSize(clients.maxHeaderBytes());
         RawHTTP2ServerConnectionFactory http2 = new RawHTTP2ServerConnectionFactory(http, sessions);
         http2.setMaxConcurrentStreams(clients.maxStreams());
         http2.setFlowControlStrategyFactory(DeferredFlowControl::new);
@@ -112,6 +113,8 @@
         client.setFlowControlStrategyFactory(DeferredFlowControl::new);
         client.setInitialStreamRecvWindow(settings.body().streamWindowBytes());
         client.setInitialSessionRecvWindow(sessionWindowBytes(settings.pool().maxStreams()));
+        client.setMaxRequestHeadersSize(settings.clients().maxHeaderBytes());
+        client.setMaxResponseHeadersSize(settings.clients().maxHeaderBytes());
         client.setConnectTimeout((long) Math.ceil(settings.dialTimeoutMs()));
         client.setIdleTimeout(UNLIMITED);
         client.setStreamIdleTimeout(UNLIMITED);
--- a/src/main/java/linenring/gateway/ProxiedRequest.java
+++ b/src/main/java/linenring/gateway/ProxiedRequest.java
@@ -6,6 +6,7 @@
 import linenring.routing.RetryDecision;
 import linenring.routing.StallDetector;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http2.ErrorCode;
 import org.eclipse.jetty.http2.api.Stream;
 import org.eclipse.jetty.http2.frames.HeadersFrame;
@@ -188,6 +189,18 @@
         abort(ErrorCode.INTERNAL_ERROR);
     }
 
+    /** Answers with an error of the gateway when the client accepts fewer bytes of headers than the host's response has. */
+    void rejectTooLargeResponse(int host) {
+        services.outcomes().responseTooLarge(operation(), host);
+        sendResponse(HttpStatus.BAD_GATEWAY_502, Responses.emptyBodyFields());
+    }
+
+    /** Resets both streams when a peer accepts fewer bytes than the trailers have; they can be neither sent nor left out. */
+    void abortForTooLargeTrailers() {
+        decision.abandon();
+        abort(ErrorCode.INTERNAL_ERROR);
+    }
+
     /** Ends the request and its current attempt, and releases the retained body. */
     void end() {
         if (ended) {
--- a/src/main/java/linenring/gateway/RequestBodyForwarder.java
+++ b/src/main/java/linenring/gateway/RequestBodyForwarder.java
@@ -78,9 +78,13 @@
     }
 
     private void sendTrailers() {
+        MetaData trailers = new MetaData(HttpVersion.HTTP_2, body.trailers());
+        if (!HeaderListSize.isAccepted(hostStream.getSession(), trailers)) {
+            request.abortForTooLargeTrailers();
+            return;
+        }
         isWriting = true; // the flag stays set, since no frame may follow the trailers
         endSent = true;
-        MetaData trailers = new MetaData(HttpVersion.HTTP_2, body.trailers());
         hostStream.headers(new HeadersFrame(hostStream.getId(), trailers, null, true), Callback.NOOP);
     }
 
--- a/src/main/java/linenring/gateway/RequestOutcomes.java
+++ b/src/main/java/linenring/gateway/RequestOutcomes.java
@@ -98,6 +98,15 @@
                         + ", so the client's stream is reset: " + Responses.logName(failure.cause()));
     }
 
+    /** Counts and logs a host's response whose headers the client does not accept. */
+    void responseTooLarge(int operation, int host) {
+        count(operation, Outcome.ERRORED);
+        log.warn(
+                Http2Gateway.LOG_SUBJECT,
+                "answering 502 for " + operations.get(operation) + " because the client accepts fewer bytes of headers"
+                        + " than the response of host " + hosts.host(host).id() + " has");
+    }
+
     /** Logs an internal error of the gateway. */
     void internalError(RuntimeException error) {
         StackTraceElement[] trace = error.getStackTrace();
--- a/src/main/java/linenring/gateway/ResponseForwarder.java
+++ b/src/main/java/linenring/gateway/ResponseForwarder.java
@@ -48,7 +48,8 @@
 
     /** Forwards an interim response (RFC 9110, 15.2), except 101, which HTTP/2 does not support (RFC 9113, 8.6). */
     void forwardInterim(MetaData.Response head) {
-        if (head.getStatus() != HttpStatus.SWITCHING_PROTOCOLS_101 && !started) {
+        boolean isAccepted = HeaderListSize.isAccepted(clientStream.getSession(), head);
+        if (head.getStatus() != HttpStatus.SWITCHING_PROTOCOLS_101 && !started && isAccepted) {
             clientStream.headers(
                     new HeadersFrame(clientStream.getId(), head, null, false),
                     Callback.from(() -> {}, failure -> Responses.closeIfNotEncodable(clientStream, failure)));
@@ -124,6 +125,10 @@
 
     private void sendTrailers() {
         MetaData trailerSection = new MetaData(HttpVersion.HTTP_2, trailers);
+        if (!HeaderListSize.isAccepted(clientStream.getSession(), trailerSection)) {
+            request.abortForTooLargeTrailers();
+            return;
+        }
         clientStream.headers(
                 new HeadersFrame(clientStream.getId(), trailerSection, null, true), clientCallback(this::finish));
     }
--- a/src/main/java/linenring/routing/AttemptFailure.java
+++ b/src/main/java/linenring/routing/AttemptFailure.java
@@ -23,6 +23,8 @@
     public enum Cause {
         /** No connection to the host could be opened in time. */
         UNREACHABLE,
+        /** The request's headers are larger than the host accepts (RFC 9113, 6.5.2). */
+        HEADERS_TOO_LARGE,
         /** The host refused the stream (RFC 9113, 8.7). */
         REFUSED,
         /** The host shuts the connection down gracefully with GOAWAY (RFC 9113, 6.8). */
@@ -50,6 +52,11 @@
         return new AttemptFailure(Execution.NEVER_SENT, Cause.REFUSED);
     }
 
+    /** Returns the failure of an attempt that was not sent, because the host accepts fewer bytes of headers. */
+    public static AttemptFailure headersTooLarge() {
+        return new AttemptFailure(Execution.NEVER_SENT, Cause.HEADERS_TOO_LARGE);
+    }
+
     /**
      * Returns the failure of an attempt whose stream the host reset. REFUSED_STREAM proves that the host did not
      * process the request (RFC 9113, 8.7), unless the host has already started an answer.
@@ -86,10 +93,11 @@
     }
 
     /**
-     * Whether the failure counts for outlier ejection of the host; a graceful shutdown of a connection does not count.
+     * Whether the failure counts for outlier ejection of the host; a graceful shutdown of a connection and a request with
+     * too large headers do not count.
      */
     public boolean countsAgainstHost() {
-        return cause != Cause.GOING_AWAY;
+        return cause != Cause.GOING_AWAY && cause != Cause.HEADERS_TOO_LARGE;
     }
 
     /**
--- a/src/main/java/linenring/testserver/BackendConnection.java
+++ b/src/main/java/linenring/testserver/BackendConnection.java
@@ -52,7 +52,7 @@
             frames = new FrameConnection(socket);
             frames.skipPreface();
             backend.awaitSettingsAllowed();
-            frames.sendSettings(Frame.MAX_CONCURRENT_STREAMS, backend.maxStreams());
+            frames.sendSettings(backend.settings());
             for (Frame frame = frames.read(); frame != null; frame = frames.read()) {
                 handleFrame(frame);
             }
@@ -208,7 +208,9 @@
                 sendBody(stream, bytes, true);
             }
             default -> {
-                sendHead(stream, reaction.status(), backendFields(), bytes == 0);
+                HttpFields fields =
+                        HttpFields.build(backendFields()).put("x-fill", "f".repeat(reaction.fillFieldBytes()));
+                sendHead(stream, reaction.status(), fields, bytes == 0);
                 sendBody(stream, bytes, true, reaction.maxFrameBytes(), 0);
             }
         }
--- a/src/main/java/linenring/testserver/Frame.java
+++ b/src/main/java/linenring/testserver/Frame.java
@@ -57,6 +57,9 @@
     /** Identifier of the setting for the initial flow control window of streams (RFC 9113, 6.5.2). */
     public static final int INITIAL_WINDOW_SIZE = 4;
 
+    /** Identifier of the setting that limits the size of headers that the peer sends (RFC 9113, 6.5.2). */
+    public static final int MAX_HEADER_LIST_SIZE = 6;
+
     /** Initial window of a connection, and of its streams unless SETTINGS set another value (RFC 9113, 6.9.2). */
     public static final int DEFAULT_WINDOW_BYTES = 65_535;
 
--- a/src/main/java/linenring/testserver/TestBackend.java
+++ b/src/main/java/linenring/testserver/TestBackend.java
@@ -25,6 +25,7 @@
 public final class TestBackend implements AutoCloseable {
     private static final int ACCEPT_QUEUE_CONNECTIONS = 512;
     private static final int DEFAULT_MAX_STREAMS = 100;
+    private static final int UNLIMITED = -1;
 
     private final ServerSocket server;
     private final ExecutorService threads = Executors.newCachedThreadPool(daemonThreads());
@@ -33,6 +34,7 @@
     private final Map<String, Reaction> reactionsByPrefix = new ConcurrentHashMap<>();
     private final BackendStatistics statistics = new BackendStatistics();
     private volatile int maxStreams = DEFAULT_MAX_STREAMS;
+    private volatile int maxHeaderListBytes = UNLIMITED;
     private volatile CountDownLatch settingsAllowed = new CountDownLatch(0);
 
     /** Starts a backend on a free port. */
@@ -74,6 +76,12 @@
         return this;
     }
 
+    /** Sets the limit of header bytes that is announced on connections accepted from now on. */
+    public TestBackend withMaxHeaderListBytes(int newMaxHeaderListBytes) {
+        maxHeaderListBytes = newMaxHeaderListBytes;
+        return this;
+    }
+
     /** Delays the SETTINGS frame on new connections until a latch opens, like a host that is slow to accept. */
     public TestBackend delaySettingsUntil(CountDownLatch newSettingsAllowed) {
         settingsAllowed = newSettingsAllowed;
@@ -134,8 +142,11 @@
         return statistics;
     }
 
-    int maxStreams() {
-        return maxStreams;
+    /** Returns the settings that are announced on a new connection, as pairs of identifier and value. */
+    int[] settings() {
+        return maxHeaderListBytes == UNLIMITED
+                ? new int[] {Frame.MAX_CONCURRENT_STREAMS, maxStreams}
+                : new int[] {Frame.MAX_CONCURRENT_STREAMS, maxStreams, Frame.MAX_HEADER_LIST_SIZE, maxHeaderListBytes};
     }
 
     void awaitSettingsAllowed() throws InterruptedException {
--- a/src/test/java/linenring/gateway/MisbehavingClientsTest.java
+++ b/src/test/java/linenring/gateway/MisbehavingClientsTest.java
@@ -34,7 +34,6 @@
     private static final int REFUSED_STREAM = 7;
     private static final int COMPRESSION_ERROR = 9;
     private static final int ENHANCE_YOUR_CALM = 11;
-    private static final int MAX_HEADER_LIST_SIZE = 6;
 
     private interface Violation {
         void commit(TestClient client) throws IOException;
@@ -218,12 +217,12 @@
         try (GatewayFixture fixture = new GatewayFixture(1)) {
             fixture.backends().get(0).onPath("/assign", Reaction.of(Behaviour.HANG));
             assertEndsViolatorAlone(fixture, Set.of(COMPRESSION_ERROR), client -> {
-                client.frames().sendSettings(MAX_HEADER_LIST_SIZE, 10);
+                client.frames().sendSettings(Frame.MAX_HEADER_LIST_SIZE, 10);
                 client.send("POST", "/assign");
                 client.send("GET", "/quote");
             });
             assertEndsViolatorAlone(fixture, Set.of(COMPRESSION_ERROR), client -> {
-                client.frames().sendSettings(MAX_HEADER_LIST_SIZE, 10);
+                client.frames().sendSettings(Frame.MAX_HEADER_LIST_SIZE, 10);
                 client.send("GET", "/no-route");
             });
         }
