Gateway: answer a request that times out just as the pool grants or refuses its stream

Cause: Attempt.timedOut calls abandonStream, which marked the attempt as decided if the pool had already taken the waiter out of its queue. The failure that timedOut then reports was ignored because of that mark, and so was the grant or rejection that was on its way.

Mend: abandonStream sets no mark; the two callers that end an attempt do. A later grant finds the attempt ended and releases the stream.

--- a/src/main/java/linenring/gateway/Attempt.java
+++ b/src/main/java/linenring/gateway/Attempt.java
@@ -267,8 +267,9 @@
     private void abandonStream() {
         if (connection != null) {
             cancelStream();
-        } else if (!upstream.cancel(this)) {
-            hasOutcome = true; // granted() or rejected() is already queued and finds this flag set
+        } else {
+            upstream.cancel(
+                    this); // a grant or rejection that the pool has already decided finds that the attempt has ended
         }
     }
 
