Error codes of HTTP/2 by the library's names; names in the test client

The test client's responses were called answers. A doc comment of RetainedBody had a word of an earlier rename. No behaviour changes.

--- a/src/main/java/linenring/gateway/RetainedBody.java
+++ b/src/main/java/linenring/gateway/RetainedBody.java
@@ -42,7 +42,7 @@
         return complete;
     }
 
-    /** Whether the end of the body was readBytes. */
+    /** Whether the end of the body was read. */
     boolean hasEnded() {
         return ended;
     }
--- a/src/main/java/linenring/load/CallEnd.java
+++ b/src/main/java/linenring/load/CallEnd.java
@@ -1,5 +1,7 @@
 package linenring.load;
 
+import org.eclipse.jetty.http2.ErrorCode;
+
 /**
  * How a call ended: with a response, a stream reset, or none of these.
  *
@@ -16,13 +18,11 @@
     /** The call was not sent, since no connection could open a stream for it. */
     static final CallEnd UNSENT = new CallEnd("unsent", false);
 
-    private static final int REFUSED_STREAM = 7;
-
     static CallEnd answered(int status) {
         return new CallEnd(Integer.toString(status), true);
     }
 
     static CallEnd reset(int errorCode) {
-        return errorCode == REFUSED_STREAM ? REFUSED : new CallEnd("reset " + errorCode, false);
+        return errorCode == ErrorCode.REFUSED_STREAM_ERROR.code ? REFUSED : new CallEnd("reset " + errorCode, false);
     }
 }
--- a/src/main/java/linenring/testserver/BackendConnection.java
+++ b/src/main/java/linenring/testserver/BackendConnection.java
@@ -9,11 +9,10 @@
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http.HttpVersion;
 import org.eclipse.jetty.http.MetaData;
+import org.eclipse.jetty.http2.ErrorCode;
 
 /** One connection of a test backend. One thread reads requests; delayed or large responses are sent by other threads. */
 final class BackendConnection {
-    private static final int INTERNAL_ERROR_CODE = 2;
-    private static final int REFUSED_STREAM_CODE = 7;
     private static final int MAX_DATA_BYTES = 16 << 10;
 
     /** Largest response body that the reading thread sends itself; small enough to fit into any send window. */
@@ -113,7 +112,7 @@
     private void react(Frame headers, OpenRequest request) throws IOException {
         int stream = headers.stream();
         switch (request.reaction().behaviour()) {
-            case REFUSE -> frames.sendReset(stream, REFUSED_STREAM_CODE);
+            case REFUSE -> frames.sendReset(stream, ErrorCode.REFUSED_STREAM_ERROR.code);
             case GO_AWAY_BELOW -> {
                 isGoingAway = true;
                 frames.sendGoAway(Math.max(0, stream - 2), 0);
@@ -187,7 +186,7 @@
     private void sendAnswer(int stream, Reaction reaction) throws IOException, InterruptedException {
         int bytes = reaction.bodyBytes();
         switch (reaction.behaviour()) {
-            case RESET -> frames.sendReset(stream, INTERNAL_ERROR_CODE);
+            case RESET -> frames.sendReset(stream, ErrorCode.INTERNAL_ERROR.code);
             case DIE -> close();
             case RESET_AFTER_HEAD, RESET_IN_BODY, DIE_IN_BODY, HANG_IN_BODY -> sendPartialAnswer(stream, reaction);
             case TRICKLE -> {
@@ -226,7 +225,7 @@
         if (behaviour == Behaviour.DIE_IN_BODY) {
             close();
         } else if (behaviour != Behaviour.HANG_IN_BODY) {
-            frames.sendReset(stream, INTERNAL_ERROR_CODE);
+            frames.sendReset(stream, ErrorCode.INTERNAL_ERROR.code);
         }
     }
 
--- a/src/main/java/linenring/testserver/TestClient.java
+++ b/src/main/java/linenring/testserver/TestClient.java
@@ -96,7 +96,7 @@
     private static final long RECHECK_INTERVAL_MS = 5;
 
     private final FrameConnection frames;
-    private final Map<Integer, Response> answers = new ConcurrentHashMap<>(); // keyed by stream identifier
+    private final Map<Integer, Response> responses = new ConcurrentHashMap<>(); // keyed by stream identifier
     private final List<Frame> goAways = new ArrayList<>(); // guarded by this
     private final List<Frame> delayedPings = new ArrayList<>(); // guarded by this
     private volatile boolean sendsWindowUpdates = true;
@@ -159,7 +159,7 @@
         }
         int stream = nextStream;
         nextStream += 2;
-        answers.put(stream, new Response());
+        responses.put(stream, new Response());
         frames.sendHeaders(stream, FrameConnection.requestHead(method, path, httpFields), endsStream);
         return stream;
     }
@@ -171,7 +171,7 @@
 
     /** Returns the response received so far on a stream. */
     public Response response(int stream) {
-        return answers.get(stream);
+        return responses.get(stream);
     }
 
     /** Waits until the response on a stream has ended or the connection is closed. */
@@ -239,21 +239,21 @@
     }
 
     private void handleFrame(Frame frame) throws IOException {
-        Response answer = answers.get(frame.stream());
+        Response response = responses.get(frame.stream());
         switch (frame.type()) {
             case Frame.SETTINGS -> frames.acknowledge(frame);
             case Frame.PING -> handlePing(frame);
             case Frame.GOAWAY -> goAways.add(frame);
             case Frame.HEADERS -> {
                 MetaData head = frames.decode(frame);
-                if (answer != null) {
-                    answer.handleHeaders(head, frame.hasFlag(Frame.END_STREAM));
+                if (response != null) {
+                    response.handleHeaders(head, frame.hasFlag(Frame.END_STREAM));
                 }
             }
-            case Frame.DATA -> handleData(frame, answer);
+            case Frame.DATA -> handleData(frame, response);
             case Frame.RST_STREAM -> {
-                if (answer != null) {
-                    answer.resetCode = frame.readUint31(0);
+                if (response != null) {
+                    response.resetCode = frame.readUint31(0);
                 }
             }
             default -> {}
@@ -268,7 +268,7 @@
         }
     }
 
-    private void handleData(Frame data, Response answer) throws IOException {
+    private void handleData(Frame data, Response response) throws IOException {
         int length = data.payload().length;
         boolean endsStream = data.hasFlag(Frame.END_STREAM);
         if (length > 0 && sendsWindowUpdates) {
@@ -277,9 +277,9 @@
                 frames.sendWindowUpdate(data.stream(), length);
             }
         }
-        if (answer != null) {
-            answer.bodyBytes.addAndGet(length);
-            answer.isComplete = answer.isComplete || endsStream;
+        if (response != null) {
+            response.bodyBytes.addAndGet(length);
+            response.isComplete = response.isComplete || endsStream;
         }
     }
 
--- a/src/test/java/linenring/gateway/GatewayRetryTest.java
+++ b/src/test/java/linenring/gateway/GatewayRetryTest.java
@@ -10,13 +10,13 @@
 import linenring.testserver.Reaction;
 import linenring.testserver.TestBackend;
 import linenring.testserver.TestClient;
+import org.eclipse.jetty.http2.ErrorCode;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
 /** Tests how many times a request is executed when its hosts fail or its client resets it. */
 @Timeout(60)
 class GatewayRetryTest {
-    private static final int CANCEL = 8;
 
     /**
      * A client resets its stream without knowing whether the request was executed. The gateway must not send the request a
@@ -33,13 +33,13 @@
             // resets requests before their bodies, immediately after their bodies, and during their execution
             for (int i = 0; i < 20; i++) {
                 int withoutBody = client.sendHeaders("POST", "/assign", false, "x-mark", "held" + i);
-                client.frames().sendReset(withoutBody, CANCEL);
+                client.frames().sendReset(withoutBody, ErrorCode.CANCEL_STREAM_ERROR.code);
                 int resetAtOnce = client.send("POST", "/assign", "x-mark", "quick" + i);
-                client.frames().sendReset(resetAtOnce, CANCEL);
+                client.frames().sendReset(resetAtOnce, ErrorCode.CANCEL_STREAM_ERROR.code);
                 String key = "runs" + i;
                 int executing = client.send("POST", "/assign", "x-mark", key);
                 client.await(() -> fixture.executionsOfKey(key) == 1, "a backend executes the request");
-                client.frames().sendReset(executing, CANCEL);
+                client.frames().sendReset(executing, ErrorCode.CANCEL_STREAM_ERROR.code);
             }
             assertEquals(200, client.call("POST", "/assign", "x-mark", "last").status());
             fixture.awaitIdle();
--- a/src/test/java/linenring/gateway/MisbehavingClientsTest.java
+++ b/src/test/java/linenring/gateway/MisbehavingClientsTest.java
@@ -19,6 +19,7 @@
 import linenring.testserver.TestBackend;
 import linenring.testserver.TestClient;
 import org.eclipse.jetty.http.HttpFields;
+import org.eclipse.jetty.http2.ErrorCode;
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 
@@ -28,12 +29,6 @@
  */
 @Timeout(60)
 class MisbehavingClientsTest {
-    private static final int PROTOCOL_ERROR = 1;
-    private static final int FLOW_CONTROL_ERROR = 3;
-    private static final int STREAM_CLOSED = 5;
-    private static final int REFUSED_STREAM = 7;
-    private static final int COMPRESSION_ERROR = 9;
-    private static final int ENHANCE_YOUR_CALM = 11;
 
     private interface Violation {
         void commit(TestClient client) throws IOException;
@@ -90,7 +85,9 @@
             }
             assertTrue(maxLatencyNanos < 1_000_000_000L, "another client waited " + maxLatencyNanos / 1e6 + " ms");
             for (TestClient violatingClient : violatingClients) {
-                assertEquals(ENHANCE_YOUR_CALM, violatingClient.await(1).resetCode());
+                assertEquals(
+                        ErrorCode.ENHANCE_YOUR_CALM_ERROR.code,
+                        violatingClient.await(1).resetCode());
                 assertTrue(violatingClient.response(1).bodyBytes() <= 65_535);
             }
             long sentBytes = fixture.backends().stream()
@@ -152,7 +149,7 @@
     @Test
     void endsRapidReset() throws IOException {
         try (GatewayFixture fixture = new GatewayFixture(1, "clients frames-per-second=100")) {
-            assertEndsViolatorAlone(fixture, Set.of(ENHANCE_YOUR_CALM), client -> {
+            assertEndsViolatorAlone(fixture, Set.of(ErrorCode.ENHANCE_YOUR_CALM_ERROR.code), client -> {
                 for (int i = 0; i < 5000; i++) {
                     client.frames().sendReset(client.send("POST", "/assign"), 8);
                 }
@@ -166,17 +163,17 @@
     @Test
     void endsFloodOfSettingsPingsOrEmptyData() throws IOException {
         try (GatewayFixture fixture = new GatewayFixture(1, "clients frames-per-second=100")) {
-            assertEndsViolatorAlone(fixture, Set.of(ENHANCE_YOUR_CALM), client -> {
+            assertEndsViolatorAlone(fixture, Set.of(ErrorCode.ENHANCE_YOUR_CALM_ERROR.code), client -> {
                 for (int i = 0; i < 5000; i++) {
                     client.frames().sendSettings(4, 65_535);
                 }
             });
-            assertEndsViolatorAlone(fixture, Set.of(ENHANCE_YOUR_CALM), client -> {
+            assertEndsViolatorAlone(fixture, Set.of(ErrorCode.ENHANCE_YOUR_CALM_ERROR.code), client -> {
                 for (int i = 0; i < 5000; i++) {
                     client.frames().sendFrame(Frame.PING, 0, 0, new byte[8]);
                 }
             });
-            assertEndsViolatorAlone(fixture, Set.of(ENHANCE_YOUR_CALM), client -> {
+            assertEndsViolatorAlone(fixture, Set.of(ErrorCode.ENHANCE_YOUR_CALM_ERROR.code), client -> {
                 int stream = client.sendHeaders("POST", "/quote", false);
                 for (int i = 0; i < 5000; i++) {
                     client.sendData(stream, 0, false);
@@ -188,13 +185,15 @@
     @Test
     void endsFloodOfContinuationsAndTooLargeHeaders() throws IOException {
         try (GatewayFixture fixture = new GatewayFixture(1)) {
-            assertEndsViolatorAlone(fixture, Set.of(ENHANCE_YOUR_CALM, PROTOCOL_ERROR), client -> {
-                byte[] block = client.frames().encode(FrameConnection.requestHead("GET", "/quote", HttpFields.EMPTY));
-                client.frames().sendFrame(Frame.HEADERS, Frame.END_STREAM, 1, block);
-                for (int i = 0; i < 5000; i++) {
-                    client.frames().sendFrame(Frame.CONTINUATION, 0, 1, new byte[1000]);
-                }
-            });
+            assertEndsViolatorAlone(
+                    fixture, Set.of(ErrorCode.ENHANCE_YOUR_CALM_ERROR.code, ErrorCode.PROTOCOL_ERROR.code), client -> {
+                        byte[] block =
+                                client.frames().encode(FrameConnection.requestHead("GET", "/quote", HttpFields.EMPTY));
+                        client.frames().sendFrame(Frame.HEADERS, Frame.END_STREAM, 1, block);
+                        for (int i = 0; i < 5000; i++) {
+                            client.frames().sendFrame(Frame.CONTINUATION, 0, 1, new byte[1000]);
+                        }
+                    });
             TestClient client = fixture.connect();
             int tooLarge = client.send("GET", "/quote", "x-long", "x".repeat(40_000));
             client.await(
@@ -216,12 +215,12 @@
     void endsConnectionOfClientThatAcceptsNoHeaders() throws IOException {
         try (GatewayFixture fixture = new GatewayFixture(1)) {
             fixture.backends().get(0).onPath("/assign", Reaction.of(Behaviour.HANG));
-            assertEndsViolatorAlone(fixture, Set.of(COMPRESSION_ERROR), client -> {
+            assertEndsViolatorAlone(fixture, Set.of(ErrorCode.COMPRESSION_ERROR.code), client -> {
                 client.frames().sendSettings(Frame.MAX_HEADER_LIST_SIZE, 10);
                 client.send("POST", "/assign");
                 client.send("GET", "/quote");
             });
-            assertEndsViolatorAlone(fixture, Set.of(COMPRESSION_ERROR), client -> {
+            assertEndsViolatorAlone(fixture, Set.of(ErrorCode.COMPRESSION_ERROR.code), client -> {
                 client.frames().sendSettings(Frame.MAX_HEADER_LIST_SIZE, 10);
                 client.send("GET", "/no-route");
             });
@@ -233,18 +232,22 @@
         try (GatewayFixture fixture = new GatewayFixture(1)) {
             assertEndsViolatorAlone(
                     fixture,
-                    Set.of(FLOW_CONTROL_ERROR),
+                    Set.of(ErrorCode.FLOW_CONTROL_ERROR.code),
                     client -> client.frames().sendWindowUpdate(0, Integer.MAX_VALUE));
             assertEndsViolatorAlone(
-                    fixture, Set.of(PROTOCOL_ERROR), client -> client.frames().sendWindowUpdate(0, 0));
+                    fixture,
+                    Set.of(ErrorCode.PROTOCOL_ERROR.code),
+                    client -> client.frames().sendWindowUpdate(0, 0));
             fixture.backends().get(0).onPath("/assign", Reaction.of(Behaviour.HANG));
             TestClient client = fixture.connect();
             int overflowing = client.send("POST", "/assign");
             int zeroIncrement = client.send("POST", "/assign");
             client.frames().sendWindowUpdate(overflowing, Integer.MAX_VALUE);
-            assertEquals(FLOW_CONTROL_ERROR, client.await(overflowing).resetCode());
+            assertEquals(
+                    ErrorCode.FLOW_CONTROL_ERROR.code, client.await(overflowing).resetCode());
             client.frames().sendWindowUpdate(zeroIncrement, 0);
-            assertEquals(PROTOCOL_ERROR, client.await(zeroIncrement).resetCode());
+            assertEquals(
+                    ErrorCode.PROTOCOL_ERROR.code, client.await(zeroIncrement).resetCode());
             assertEquals(200, client.call("GET", "/quote").status());
         }
     }
@@ -262,7 +265,7 @@
             }
             int refused = 0;
             for (int stream : streams) {
-                refused += client.await(stream).resetCode() == REFUSED_STREAM ? 1 : 0;
+                refused += client.await(stream).resetCode() == ErrorCode.REFUSED_STREAM_ERROR.code ? 1 : 0;
             }
             assertEquals(20, refused);
             assertEquals(10, fixture.executions("/assign"));
@@ -274,15 +277,15 @@
         try (GatewayFixture fixture = new GatewayFixture(1)) {
             assertEndsViolatorAlone(
                     fixture,
-                    Set.of(PROTOCOL_ERROR, STREAM_CLOSED),
+                    Set.of(ErrorCode.PROTOCOL_ERROR.code, ErrorCode.STREAM_CLOSED_ERROR.code),
                     client -> client.sendData(77, 10, true)); // stream 77 is idle
             assertEndsViolatorAlone(
                     fixture,
-                    Set.of(PROTOCOL_ERROR, STREAM_CLOSED),
+                    Set.of(ErrorCode.PROTOCOL_ERROR.code, ErrorCode.STREAM_CLOSED_ERROR.code),
                     client -> client.frames().sendWindowUpdate(77, 10));
             assertEndsViolatorAlone(
                     fixture,
-                    Set.of(PROTOCOL_ERROR),
+                    Set.of(ErrorCode.PROTOCOL_ERROR.code),
                     client -> client.frames().sendFrame(Frame.DATA, 0, 0, new byte[4]));
             TestClient client = fixture.connect();
             int closedStream = client.send("GET", "/quote");
--- a/src/test/java/linenring/gateway/SmallDataFramesTest.java
+++ b/src/test/java/linenring/gateway/SmallDataFramesTest.java
@@ -20,7 +20,7 @@
 
 /**
  * Tests peers that send bodies in very small DATA frames while the receiver of the body does not read. Each sender keeps to its
- * flow-control windows. The setting {@code in-all} limits the memory of all bodies, whatever the size of their frames.
+ * flow-control windows. The setting {@code in-all} limits the memory of all bodies, small frames or large.
  */
 @Timeout(60)
 class SmallDataFramesTest {
