--- a/review/standins-2/Setup.java
+++ b/review/standins-2/Setup.java
@@ -8,7 +8,7 @@
     public static final double UNSERVED_MAX_MS = 4100;
 
     public final Rig rig;
-    public final Rig.Agent agent;
+    public Rig.Agent agent;
     public String controllerAddress = "127.0.0.1";
     public int controllerPort;
     public String gatewayAddress = "127.0.0.1";
