--- a/review/standins-2/DrainWithQueue.java
+++ b/review/standins-2/DrainWithQueue.java
@@ -46,7 +46,7 @@
             hangs[0] = true;
             rig.note("s-1 takes requests and answers none from now on");
         }
-        Rig.pause(2700);
+        Rig.pause(2900);
         setup.agent.set("s-1", victim.address(), "brussel", "small-2c", "Terminating", 0);
         double toldMs = rig.ms();
         load.join();
