--- a/review/standins-2/DrainWithQueue.java
+++ b/review/standins-2/DrainWithQueue.java
@@ -22,8 +22,8 @@
         List<H2Host> hosts = new ArrayList<>();
         for (int i = 1; i <= 8; i++) {
             boolean isVictim = i == 1;
-            // a host takes 16 requests of a connection at once and needs 350 ms for one
-            H2Host host = new H2Host(rig, "s-" + i, 16, (path, key) -> isVictim && hangs[0] ? -1 : 350);
+            // a host takes 12 requests of a connection at once and needs 350 ms for one
+            H2Host host = new H2Host(rig, "s-" + i, 12, (path, key) -> isVictim && hangs[0] ? -1 : 350);
             hosts.add(host);
             setup.agent.set("s-" + i, host.address(), "brussel", "small-2c", "Ready", 0);
         }
