Gateway: write the final response after interim ones, and reset the stream if a write fails

All 20 requests run, and none ever gets a final answer, a reset or a GOAWAY; the gateway counts them as "client gone".

Cause: Jetty permits one write at a time on a stream. The interim response was written without waiting for its end, so that the write of the final one failed at once; any failed write was taken for a client that has left, and the stream was not reset. Evidence: a log line for writes that fail while the client is there was added first. With it alone the test's log reads "cannot write a response to assign, so the client's stream 5 is reset: java.nio.channels.WritePendingException". The same cause on related paths: the gateway's own answer after an interim response, a second interim response, a client that reads neither. Towards hosts RequestBodyForwarder keeps one write at a time.

Mend: InterimResponses, one for each request and so for all of its attempts, writes one interim response at a time, keeps a limited number of waiting ones, and begins the final response after them. The client's stall time begins when the final response is due. A failed write resets the stream unless the client has left.

--- a/src/main/java/linenring/gateway/Attempt.java
+++ b/src/main/java/linenring/gateway/Attempt.java
@@ -149,7 +149,7 @@
             if (!(frame.getMetaData() instanceof MetaData.Response head)) {
                 responseForwarder.trailersReceived(frame.getMetaData().getHttpFields());
             } else if (head.getStatus() < HttpStatus.OK_200) {
-                responseForwarder.forwardInterim(head);
+                request.interimResponses().forward(head);
             } else {
                 responseReceived(head, frame.isEndStream());
             }
--- a/src/main/java/linenring/gateway/HeaderListSize.java
+++ b/src/main/java/linenring/gateway/HeaderListSize.java
@@ -24,7 +24,8 @@
         return maxBytes <= 0 || bytes(headers) <= maxBytes;
     }
 
-    private static long bytes(MetaData headers) {
+    /** Returns the size of headers or trailers (RFC 9113, 6.5.2). */
+    static long bytes(MetaData headers) {
         long bytes = pseudoFieldBytes(headers);
         for (HttpField field : headers.getHttpFields()) {
             bytes += fieldBytes(field.getName(), field.getValue());
--- a/src/main/java/linenring/gateway/ProxiedRequest.java
+++ b/src/main/java/linenring/gateway/ProxiedRequest.java
@@ -31,15 +31,22 @@
      * @param operation     index of the request's operation
      * @param body          reads and retains the request body
      * @param stallDetector detects whether the client or the host stalls the response
+     * @param maxHeaderBytes limit for the interim responses that wait until the client has accepted an earlier one
      */
     record ClientRequest(
-            Stream stream, HeadersFrame headers, int operation, RequestBody body, StallDetector stallDetector) {}
+            Stream stream,
+            HeadersFrame headers,
+            int operation,
+            RequestBody body,
+            StallDetector stallDetector,
+            int maxHeaderBytes) {}
 
     private final ClientRequest clientRequest;
     private final RetryDecision decision;
     private final RequestServices services;
     private final Consumer<ProxiedRequest> onEnd;
     private final SerializedInvoker invoker = new SerializedInvoker();
+    private final InterimResponses interimResponses;
     private Attempt currentAttempt; // null while no attempt is active
     private boolean ended;
 
@@ -53,6 +60,7 @@
         this.decision = decision;
         this.services = services;
         this.onEnd = onEnd;
+        interimResponses = new InterimResponses(this, clientRequest.maxHeaderBytes());
     }
 
     /** Runs a task after the queued tasks, on this thread or on the thread that is running them. */
@@ -131,6 +139,10 @@
         return clientRequest.body();
     }
 
+    InterimResponses interimResponses() {
+        return interimResponses;
+    }
+
     StallDetector stallDetector() {
         return clientRequest.stallDetector();
     }
@@ -175,6 +187,24 @@
         }
     }
 
+    /**
+     * Ends the request after a write to the client has failed. Unless the client has left, its stream is reset: otherwise it
+     * would wait for a response that never comes.
+     */
+    void clientWriteFailed(Throwable failure) {
+        if (ended) {
+            return;
+        }
+        Responses.closeIfNotEncodable(clientStream(), failure);
+        if (Responses.isClientGone(clientStream(), failure)) {
+            clientGone();
+        } else {
+            services.outcomes().clientWriteFailed(operation(), clientStream(), failure);
+            decision.abandon();
+            abort(ErrorCode.INTERNAL_ERROR);
+        }
+    }
+
     /** Resets the client's stream and ends the request when its response cannot be completed. */
     void abort(ErrorCode code) {
         if (!ended) {
@@ -219,10 +249,12 @@
 
     /** Sends a response of the gateway itself, without reading the rest of the request body. */
     private void sendResponse(int status, HttpFields fields) {
-        if (!ended) {
-            Responses.send(clientStream(), status, fields, body().isFullyRead());
-            end();
-        }
+        interimResponses.runAfterwards(() -> {
+            if (!ended) {
+                Responses.send(clientStream(), status, fields, body().isFullyRead());
+                end();
+            }
+        });
     }
 
     /** Ends the request if its response has stalled; called periodically, from any thread. */
--- a/src/main/java/linenring/gateway/RequestDispatcher.java
+++ b/src/main/java/linenring/gateway/RequestDispatcher.java
@@ -85,7 +85,8 @@
                         headers,
                         operation,
                         new RequestBody(headers.isEndStream() ? null : ReceiveBuffer.attachTo(stream), retainedBody),
-                        new StallDetector(maxStallNanos)),
+                        new StallDetector(maxStallNanos),
+                        settings.clients().maxHeaderBytes()),
                 decision,
                 services,
                 request -> requestEnded(request, bufferBytes));
--- a/src/main/java/linenring/gateway/RequestOutcomes.java
+++ b/src/main/java/linenring/gateway/RequestOutcomes.java
@@ -107,6 +107,14 @@
                         + " than the response of host " + hosts.host(host).id() + " has");
     }
 
+    /** Logs a write to a client that has failed for another reason than the loss of its stream or connection. */
+    void clientWriteFailed(int operation, Stream client, Throwable failure) {
+        log.error(
+                Http2Gateway.LOG_SUBJECT,
+                "cannot write a response to " + operations.get(operation) + ", so the client's stream " + client.getId()
+                        + " is reset: " + failure);
+    }
+
     /** Logs an internal error of the gateway. */
     void internalError(RuntimeException error) {
         StackTraceElement[] trace = error.getStackTrace();
--- a/src/main/java/linenring/gateway/ResponseForwarder.java
+++ b/src/main/java/linenring/gateway/ResponseForwarder.java
@@ -2,7 +2,6 @@
 
 import linenring.routing.StallDetector;
 import org.eclipse.jetty.http.HttpFields;
-import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http.HttpVersion;
 import org.eclipse.jetty.http.MetaData;
 import org.eclipse.jetty.http2.ErrorCode;
@@ -46,21 +45,18 @@
         received = ReceiveBuffer.of(stream);
     }
 
-    /** Forwards an interim response (RFC 9110, 15.2), except 101, which HTTP/2 does not support (RFC 9113, 8.6). */
-    void forwardInterim(MetaData.Response head) {
-        boolean isAccepted = HeaderListSize.isAccepted(clientStream.getSession(), head);
-        if (head.getStatus() != HttpStatus.SWITCHING_PROTOCOLS_101 && !started && isAccepted) {
-            clientStream.headers(
-                    new HeadersFrame(clientStream.getId(), head, null, false),
-                    Callback.from(() -> {}, failure -> Responses.closeIfNotEncodable(clientStream, failure)));
-        }
-    }
-
-    /** Sends the response headers; {@code isLast} is true if the response has neither a body nor trailers. */
+    /**
+     * Sends the response headers after the interim responses; {@code isLast} is true if the response has neither a body nor
+     * trailers.
+     */
     void start(MetaData.Response head, boolean isLast) {
         started = true;
         request.body().discardRetained();
         stallDetector.clientWriteStarted(System.nanoTime());
+        request.interimResponses().runAfterwards(() -> sendHeaders(head, isLast));
+    }
+
+    private void sendHeaders(MetaData.Response head, boolean isLast) {
         clientStream.headers(new HeadersFrame(clientStream.getId(), head, null, isLast), clientCallback(() -> {
             stallDetector.clientWriteEnded();
             if (isLast) {
@@ -107,7 +103,7 @@
                         },
                         failure -> {
                             received.forwarded(length);
-                            request.execute(request::clientGone);
+                            request.execute(() -> request.clientWriteFailed(failure));
                         }));
     }
 
@@ -134,10 +130,8 @@
     }
 
     private Callback clientCallback(Runnable onSuccess) {
-        return Callback.from(() -> request.execute(onSuccess), failure -> {
-            Responses.closeIfNotEncodable(clientStream, failure);
-            request.execute(request::clientGone);
-        });
+        return Callback.from(
+                () -> request.execute(onSuccess), failure -> request.execute(() -> request.clientWriteFailed(failure)));
     }
 
     /**
--- a/src/main/java/linenring/gateway/Responses.java
+++ b/src/main/java/linenring/gateway/Responses.java
@@ -1,5 +1,6 @@
 package linenring.gateway;
 
+import java.io.IOException;
 import java.util.Locale;
 import linenring.routing.FailureReason;
 import linenring.routing.NextStep;
@@ -65,7 +66,15 @@
                                 reset(client, ErrorCode.NO_ERROR);
                             }
                         },
-                        failure -> closeIfNotEncodable(client, failure))); // otherwise the client has left
+                        failure -> endAfterFailedWrite(client, failure)));
+    }
+
+    /** Ends a stream whose last write has failed, unless the client has left. */
+    private static void endAfterFailedWrite(Stream client, Throwable failure) {
+        closeIfNotEncodable(client, failure);
+        if (!isClientGone(client, failure)) {
+            reset(client, ErrorCode.INTERNAL_ERROR);
+        }
     }
 
     /**
@@ -79,6 +88,13 @@
         }
     }
 
+    /** Whether a write to a client has failed because the client has reset the stream, or the connection has ended. */
+    static boolean isClientGone(Stream client, Throwable writeFailure) {
+        return writeFailure instanceof IOException
+                || client.isReset()
+                || client.getSession().isClosed();
+    }
+
     /** Resets a stream (RFC 9113, 6.4). */
     static void reset(Stream stream, ErrorCode code) {
         stream.reset(new ResetFrame(stream.getId(), code.code), Callback.NOOP);
--- a/src/main/java/linenring/testserver/BackendConnection.java
+++ b/src/main/java/linenring/testserver/BackendConnection.java
@@ -194,13 +194,16 @@
                 sendBody(stream, bytes, true, 1, TRICKLE_INTERVAL_MS);
             }
             case EARLY_HINTS_AND_TRAILERS -> {
-                HttpFields hint = HttpFields.build().put("link", "</a>");
-                sendHead(stream, HttpStatus.EARLY_HINTS_103, hint, false);
+                sendEarlyHints(stream);
                 sendHead(stream, HttpStatus.OK_200, backendFields(), false);
                 sendBody(stream, bytes, false);
                 HttpFields trailers = HttpFields.build().put("x-sum", "7");
                 frames.sendHeaders(stream, new MetaData(HttpVersion.HTTP_2, trailers), true);
             }
+            case HANG_AFTER_EARLY_HINTS -> {
+                sendEarlyHints(stream);
+                sendEarlyHints(stream);
+            }
             case LIE_ABOUT_LENGTH -> {
                 HttpFields fields = HttpFields.build(backendFields()).put("content-length", "" + (bytes + 1));
                 sendHead(stream, HttpStatus.OK_200, fields, false);
@@ -229,6 +232,10 @@
         }
     }
 
+    private void sendEarlyHints(int stream) throws IOException {
+        sendHead(stream, HttpStatus.EARLY_HINTS_103, HttpFields.build().put("link", "</a>"), false);
+    }
+
     private HttpFields backendFields() {
         return HttpFields.build().put("x-node", backend.address());
     }
--- a/src/main/java/linenring/testserver/Behaviour.java
+++ b/src/main/java/linenring/testserver/Behaviour.java
@@ -32,6 +32,8 @@
     TRICKLE,
     /** Sends a 103 (Early Hints) response, the final response and trailers. */
     EARLY_HINTS_AND_TRAILERS,
+    /** Sends two 103 (Early Hints) responses and never the final response. */
+    HANG_AFTER_EARLY_HINTS,
     /** Announces a larger content-length than the body that it sends. */
     LIE_ABOUT_LENGTH;
 
--- a/src/main/java/linenring/testserver/TestClient.java
+++ b/src/main/java/linenring/testserver/TestClient.java
@@ -101,6 +101,7 @@
     private final List<Frame> delayedPings = new ArrayList<>(); // guarded by this
     private volatile boolean sendsWindowUpdates = true;
     private volatile boolean acknowledgesPings = true;
+    private volatile boolean isReadingPaused;
     private volatile boolean isClosed;
     private int nextStream = 1; // guarded by this
 
@@ -145,6 +146,18 @@
         return this;
     }
 
+    /** Stops reading frames until {@link #resumeReading}, like a client whose network passes nothing on to it. */
+    public TestClient pauseReading() {
+        isReadingPaused = true;
+        return this;
+    }
+
+    /** Reads frames again. */
+    public synchronized void resumeReading() {
+        isReadingPaused = false;
+        notifyAll();
+    }
+
     /** Sends a request without a body and returns its stream identifier. */
     public int send(String method, String path, String... fields) throws IOException {
         return sendHeaders(method, path, true, fields);
@@ -224,12 +237,17 @@
         try {
             for (Frame frame = frames.read(); frame != null; frame = frames.read()) {
                 synchronized (this) {
+                    while (isReadingPaused) {
+                        wait();
+                    }
                     handleFrame(frame);
                     notifyAll();
                 }
             }
         } catch (IOException | RuntimeException connectionClosed) {
             // the connection was closed, by either side
+        } catch (InterruptedException interrupted) {
+            Thread.currentThread().interrupt();
         } finally {
             isClosed = true;
             synchronized (this) {
--- a/src/test/java/linenring/gateway/GatewayFixture.java
+++ b/src/test/java/linenring/gateway/GatewayFixture.java
@@ -176,8 +176,9 @@
         events.drainTo(this);
     }
 
-    TestClient connect() throws IOException {
-        TestClient client = new TestClient(gateway.port());
+    /** Connects a client; {@code settings} are pairs of identifier and value. */
+    TestClient connect(int... settings) throws IOException {
+        TestClient client = new TestClient(gateway.port(), settings);
         clients.add(client);
         return client;
     }
