Upgrade: find the gateway's listener by address and port, not by its port alone

The upgrade reports success, and from then on no request to the gateway's port is answered: 66 of 500 sent and lost, 335 found no connection. The new controller logs "Address already in use" and serves no proxy either.

Cause: the descriptor that the new process inherits was looked up in /proc/net/tcp by port, and the first listening socket was taken, here the controller's. The new process compared ports alone too. No other code finds a socket by its port.

The new process refuses an inherited listener that is not bound to the address of its settings, so that the old one goes on serving.

--- a/src/main/java/linenring/cli/ProcessHandover.java
+++ b/src/main/java/linenring/cli/ProcessHandover.java
@@ -176,11 +176,10 @@
             ServerSocketChannel listener = InheritedListener.find()
                     .orElseThrow(
                             () -> new PreparationException("no listening socket was handed over by the old process"));
-            int port = ((InetSocketAddress) listener.getLocalAddress()).getPort();
-            int configuredPort = gateway.settings().listen().getPort();
-            if (configuredPort != 0 && configuredPort != port) {
-                throw new PreparationException("the inherited listener uses port " + port
-                        + ", but the settings specify port " + configuredPort);
+            InetSocketAddress configured = gateway.settings().listen();
+            if (!InheritedListener.isBoundTo(listener, configured)) {
+                throw new PreparationException("the inherited listener is bound to " + listener.getLocalAddress()
+                        + ", but the settings specify " + configured);
             }
             return listener;
         } catch (IOException failure) {
--- a/src/test/java/linenring/handover/UpgradeUnderLoadTest.java
+++ b/src/test/java/linenring/handover/UpgradeUnderLoadTest.java
@@ -29,6 +29,8 @@
 import org.junit.jupiter.api.Test;
 import org.junit.jupiter.api.Timeout;
 import org.junit.jupiter.api.io.TempDir;
+import org.junit.jupiter.params.ParameterizedTest;
+import org.junit.jupiter.params.provider.CsvSource;
 
 /**
  * Upgrades a serving process under load: no call may be lost or run twice, and a new process that hangs or dies must not
@@ -45,10 +47,15 @@
     private Process process;
     private Path logFile;
     private Path directory;
+    private String controllerAddress = "127.0.0.1";
+    private String gatewayAddress = "127.0.0.1";
+    private int controllerPort;
     private int port;
 
     @BeforeEach
     void startBackends() throws IOException {
+        controllerPort = freePort();
+        port = freePort();
         for (int i = 0; i < 2; i++) {
             backends.add(new TestBackend());
             backends.get(i).onPath("/assign", Reaction.of(Behaviour.ANSWER).withDelayMs(30));
@@ -90,17 +97,17 @@
 
     /** Starts a controller with a gateway; {@code settings} are added to the handover settings. */
     private void serve(String settings) throws IOException {
-        port = freePort();
-        Path configuration = Files.writeString(
-                temp.resolve("configuration.json"), """
-                {"name": "n0", "listen": "127.0.0.1:%d", "discovery": "127.0.0.1:%d",
+        Path configuration = Files.writeString(temp.resolve("configuration.json"), """
+                {"name": "n0", "listen": "%s:%d", "discovery": "127.0.0.1:%d",
                  "known": {"version": 1, "full": true, "servers": [%s]},
                  "settings": {"Azs": ["a"], "Kinds": ["std"], "Classes": [{"Name": "quote", "Aim": 500000},
                    {"Name": "assign", "Aim": 500000}], "Specifics": {"ProxyCount": 1}}}
-                """.formatted(freePort(), freePort(), hostsJson()));
-        Path gateway = Files.writeString(temp.resolve("front.kdl"), """
+                """.formatted(
+                        controllerAddress, controllerPort, freePort(), hostsJson()));
+        Path gateway =
+                Files.writeString(temp.resolve("front.kdl"), """
                 front {
-                    listen "127.0.0.1:%d"
+                    listen "%s:%d"
                     proxy id=0 zone="a"
                     operation "quote" effect="idempotent" objective="500ms" timeout="10s"
                     operation "assign" effect="side-effecting" objective="500ms" timeout="10s"
@@ -109,7 +116,7 @@
                     drain "10s"
                     handover dir="%s" %s
                 }
-                """.formatted(port, directory, settings));
+                """.formatted(gatewayAddress, port, directory, settings));
         start(configuration, gateway);
         awaitLog("accepts requests at");
         TestClient.await(
@@ -161,7 +168,7 @@
         return CompletableFuture.supplyAsync(() -> {
             try {
                 return LoadGenerator.run(new LoadGenerator.Plan(
-                        "127.0.0.1",
+                        gatewayAddress,
                         port,
                         List.of(
                                 new LoadGenerator.CallTemplate("quote", "GET", "/quote", 1, false),
@@ -222,6 +229,26 @@
         assertNothingLost(load.get(40, TimeUnit.SECONDS));
     }
 
+    /**
+     * Controller and gateway listen on one port number of two addresses. Guards against an upgrade that hands over the
+     * controller's listener: it reported success, and no request was answered any more. Which of the two the kernel lists
+     * first depends on the addresses.
+     */
+    @ParameterizedTest
+    @CsvSource({"127.0.0.1, 127.0.0.2", "127.0.0.2, 127.0.0.1"})
+    void losesNothingWhereControllerAndGatewayHaveOnePortNumber(String controller, String gateway) throws Exception {
+        controllerAddress = controller;
+        gatewayAddress = gateway;
+        controllerPort = port;
+        serve("probation=\"500ms\"");
+        CompletableFuture<LoadGenerator.Outcomes> load = runLoad(6);
+        UpgradeOutcome upgradeOutcome = outcome(requestUpgrade());
+        assertTrue(upgradeOutcome.getSucceeded(), () -> upgradeOutcome.getMessage() + logText());
+        assertNothingLost(load.get(40, TimeUnit.SECONDS));
+        assertFalse(logText().contains("cannot listen"), this::logText);
+        assertTrue(logText().contains("accepts requests at " + gateway + ":" + port), this::logText);
+    }
+
     @Test
     void keepsServingWhereTheNewProcessExitsAtOnceOrHangs() throws Exception {
         serve("greet=\"1s\" command=\"sh -c 'test -e " + temp.resolve("hang") + " && sleep 60; exit 7'\"");
