Gateway: network buffers on the heap, so that half-sent headers do not block its threads

Cause: Jetty holds a direct buffer of up to 16 KiB for each header block that has begun. MaxDirectMemorySize is 8 MiB, so after some 500 of them every thread that needs a buffer waits in Bits.reserveMemory for the collector. Evidence: a thread dump in that state has 26 of 33 gateway threads there, from HeaderBlockFragments.storeFragment and from reads of sockets.

Mend: input and output buffers of both sides are on the heap. The JDK copies them through a direct buffer of each thread, so that direct memory goes by threads. The same setting covers hosts that stop within the headers of an answer.

Test: ClientMemoryTest.servesOthersWhileClientsStopWithinHeaders, a process with the deploy file's options.

--- a/src/main/java/linenring/gateway/GatewayTransport.java
+++ b/src/main/java/linenring/gateway/GatewayTransport.java
@@ -35,6 +35,12 @@
     /** Number of connections that the kernel holds while no process accepts them during an upgrade. */
     private static final int ACCEPT_QUEUE_CONNECTIONS = 512;
 
+    /**
+     * Whether network buffers are outside the heap. Jetty holds one for each connection on which a header block has begun; when
+     * the JVM's limit of direct memory is reached, each thread that needs a buffer waits for the garbage collector.
+     */
+    private static final boolean USES_DIRECT_BUFFERS = false;
+
     /** Minimum of the initial flow-control window of a session (RFC 9113, 6.9.2). */
     private static final int MIN_SESSION_WINDOW_BYTES = 65_535;
 
@@ -102,6 +108,8 @@
         http2.setStreamIdleTimeout(UNLIMITED); // attempts, stalls and idle sessions have timeouts of their own
         http2.setRateControlFactory(new WindowRateControl.Factory(clients.maxFramesPerSecond()));
         http2.setMaxHeaderBlockFragment(clients.maxHeaderBytes());
+        http2.setUseInputDirectByteBuffers(USES_DIRECT_BUFFERS);
+        http2.setUseOutputDirectByteBuffers(USES_DIRECT_BUFFERS);
         return http2;
     }
 
@@ -115,6 +123,8 @@
         client.setInitialSessionRecvWindow(sessionWindowBytes(settings.pool().maxStreams()));
         client.setMaxRequestHeadersSize(settings.clients().maxHeaderBytes());
         client.setMaxResponseHeadersSize(settings.clients().maxHeaderBytes());
+        client.setUseInputDirectByteBuffers(USES_DIRECT_BUFFERS);
+        client.setUseOutputDirectByteBuffers(USES_DIRECT_BUFFERS);
         client.setConnectTimeout((long) Math.ceil(settings.dialTimeoutMs()));
         client.setIdleTimeout(UNLIMITED);
         client.setStreamIdleTimeout(UNLIMITED);
