Gateway: lower limits on requests, retained bodies and connections to what the heap holds

Mend: MemoryLimits takes the settings' limits, and no more than three eighths of the heap for requests, an eighth for retained bodies and a quarter for connections. A start line says so where a limit is lowered.

--- a/src/main/java/linenring/gateway/GatewayTransport.java
+++ b/src/main/java/linenring/gateway/GatewayTransport.java
@@ -45,6 +45,7 @@
     private static final int MIN_SESSION_WINDOW_BYTES = 65_535;
 
     private final GatewaySettings settings;
+    private final int maxConnections;
     private final Log log;
     private final QueuedThreadPool threads = new QueuedThreadPool(MAX_THREADS, MIN_THREADS);
     private final Scheduler scheduler = new ScheduledExecutorScheduler("gateway-timer", true);
@@ -53,8 +54,9 @@
     private ServerConnector connector;
 
     /** The {@code clientFactory} allows a test to control the order of Jetty's events. */
-    GatewayTransport(GatewaySettings settings, Supplier<HTTP2Client> clientFactory, Log log) {
+    GatewayTransport(GatewaySettings settings, int maxConnections, Supplier<HTTP2Client> clientFactory, Log log) {
         this.settings = settings;
+        this.maxConnections = maxConnections;
         this.log = log;
         client = clientFactory.get();
         threads.setName("gateway");
@@ -79,7 +81,7 @@
         GatewaySettings.Clients clients = settings.clients();
         RawHTTP2ServerConnectionFactory http2 = connectionFactory(sessions);
         server.addBean(http2); // the server starts and stops the factory, since no connector owns it
-        PrefaceConnectionFactory acceptor = new PrefaceConnectionFactory(http2, clients.maxConnections(), log);
+        PrefaceConnectionFactory acceptor = new PrefaceConnectionFactory(http2, maxConnections, log);
         connector = new ServerConnector(server, ACCEPTORS, SELECTORS, acceptor);
         connector.setHost(settings.listen().getAddress().getHostAddress());
         connector.setPort(settings.listen().getPort());
--- a/src/main/java/linenring/gateway/Http2Gateway.java
+++ b/src/main/java/linenring/gateway/Http2Gateway.java
@@ -33,6 +33,8 @@
     /** Interval between checks for stalled requests and idle connections, a small part of their timeouts. */
     private static final long SWEEP_INTERVAL_MS = 250;
 
+    private static final long BYTES_PER_MIB = 1 << 20;
+
     private final GatewaySettings settings;
     private final Log log;
     private final EndpointTables tables;
@@ -60,7 +62,9 @@
                 measure,
                 settings.outlierEjection().consecutiveFailures(),
                 settings.outlierEjection().ejectionMs());
-        transport = new GatewayTransport(settings, clientFactory, log);
+        MemoryLimits limits = MemoryLimits.of(settings, Runtime.getRuntime().maxMemory());
+        logLowered(limits);
+        transport = new GatewayTransport(settings, limits.maxConnections(), clientFactory, log);
         services = new RequestServices(
                 clock,
                 transport.scheduler(),
@@ -68,10 +72,21 @@
                 new LoadStatistics(settings.proxy(), settings.zone(), hosts, operations.size(), clock.nowMs()),
                 new RequestOutcomes(operations, hosts, (long) settings.clients().maxStallMs(), log));
         shutdown = new GracefulShutdown(settings.maxDrainMs(), clock, transport.scheduler(), log);
-        dispatcher = new RequestDispatcher(settings, services, retryContext(hosts), shutdown, log);
+        dispatcher = new RequestDispatcher(settings, limits, services, retryContext(hosts), shutdown, log);
         subscription = new ControllerSubscription(settings, events, tables, services, transport.threads(), log);
     }
 
+    private void logLowered(MemoryLimits limits) {
+        if (limits.isBelow(settings)) {
+            log.info(
+                    LOG_SUBJECT,
+                    "limits are lowered to what the heap of "
+                            + Runtime.getRuntime().maxMemory() / BYTES_PER_MIB + " MiB can hold: connections="
+                            + limits.maxConnections() + " in-all=" + limits.maxTotalRequestBytes() / BYTES_PER_MIB
+                            + "MiB kept-in-all=" + limits.maxTotalRetainedBytes() / BYTES_PER_MIB + "MiB");
+        }
+    }
+
     private RetryContext retryContext(HostRegistry hosts) {
         GatewaySettings.Retries retries = settings.retries();
         return new RetryContext(
--- a/src/main/java/linenring/gateway/RequestDispatcher.java
+++ b/src/main/java/linenring/gateway/RequestDispatcher.java
@@ -28,6 +28,7 @@
 
     RequestDispatcher(
             GatewaySettings settings,
+            MemoryLimits limits,
             RequestServices services,
             RetryContext retryContext,
             GracefulShutdown shutdown,
@@ -38,9 +39,8 @@
         this.shutdown = shutdown;
         this.log = log;
         routes = new Routes(settings.routes());
-        capacity = new RequestCapacity(
-                settings.clients().maxActiveRequests(), settings.body().maxTotalWindowBytes());
-        retainedBodyBudget = new BufferBudget(settings.body().maxTotalRetainedBytes());
+        capacity = new RequestCapacity(settings.clients().maxActiveRequests(), limits.maxTotalRequestBytes());
+        retainedBodyBudget = new BufferBudget(limits.maxTotalRetainedBytes());
     }
 
     /** Returns the listener of the stream, or null if the gateway has rejected the request. */
@@ -68,7 +68,8 @@
     /** Returns the flow-control windows of a request: one for the response and one for a request body (RFC 9113, 5.2). */
     private long maxBufferBytes(HeadersFrame headers) {
         long windows = headers.isEndStream() ? 1 : 2;
-        return windows * settings.body().streamWindowBytes();
+        return HeaderListSize.heapBytes(headers.getMetaData())
+                + windows * settings.body().streamWindowBytes();
     }
 
     private ProxiedRequest createRequest(Stream stream, HeadersFrame headers, int operation, long bufferBytes) {
--- a/src/test/java/linenring/gateway/ClientMemoryTest.java
+++ b/src/test/java/linenring/gateway/ClientMemoryTest.java
@@ -13,10 +13,13 @@
 import java.util.Arrays;
 import java.util.List;
 import java.util.concurrent.TimeUnit;
+import linenring.testserver.Behaviour;
 import linenring.testserver.Frame;
 import linenring.testserver.FrameConnection;
+import linenring.testserver.Reaction;
 import linenring.testserver.TestBackend;
 import linenring.testserver.TestClient;
+import org.eclipse.jetty.http.HttpFields;
 import org.junit.jupiter.api.AfterEach;
 import org.junit.jupiter.api.BeforeEach;
 import org.junit.jupiter.api.Test;
@@ -37,6 +40,8 @@
     private static final int CLIENTS = 800;
     private static final int OBSERVED_CALLS = 60;
     private static final long CALL_INTERVAL_MS = 50;
+    private static final int WINDOW_BYTES = 65_535;
+    private static final int MAX_FRAME_BYTES = 16 << 10;
 
     /** Size of a header field in a header list beyond its name and value (RFC 9113, 6.5.2). */
     private static final int FIELD_OVERHEAD_BYTES = 32;
@@ -54,8 +59,11 @@
 
     @BeforeEach
     void startGateway() throws IOException {
-        for (int i = 0; i < 2; i++) {
-            backends.add(new TestBackend());
+        for (int i = 0; i < 24; i++) { // the hosts accept more requests than the gateway can hold
+            TestBackend backend = new TestBackend();
+            backend.onPath("/assign/upload", Reaction.of(Behaviour.NO_WINDOW));
+            backend.onPath("/assign/hang", Reaction.of(Behaviour.HANG));
+            backends.add(backend);
         }
         gateway = new GatewayProcess(temp, backends, "");
         other = gateway.connect();
@@ -127,4 +135,31 @@
         connectClients(frames -> frames.sendFrame(Frame.HEADERS, 0, 1, half));
         assertOtherClientIsAnswered();
     }
+
+    /** Each client stops half way through large requests, whose hosts read nothing. */
+    @Test
+    void servesOthersWhileClientsStopWithinBodies() throws Exception {
+        connectClients(frames -> {
+            for (int stream = 1; stream < 8; stream += 2) {
+                frames.sendHeaders(
+                        stream, FrameConnection.requestHead("POST", "/assign/upload", HttpFields.EMPTY), false);
+                for (int sent = 0; sent < WINDOW_BYTES; sent += MAX_FRAME_BYTES) {
+                    frames.sendFrame(Frame.DATA, 0, stream, new byte[Math.min(MAX_FRAME_BYTES, WINDOW_BYTES - sent)]);
+                }
+            }
+        });
+        assertOtherClientIsAnswered();
+    }
+
+    /** Each client sends requests with very many short header fields, which hosts do not answer. */
+    @Test
+    void servesOthersWhileClientsSendManyShortFields() throws Exception {
+        byte[] block = blockOfShortFields("/assign/hang");
+        connectClients(frames -> {
+            for (int stream = 1; stream < 24; stream += 2) {
+                frames.sendFrame(Frame.HEADERS, Frame.END_HEADERS | Frame.END_STREAM, stream, block);
+            }
+        });
+        assertOtherClientIsAnswered();
+    }
 }
