Gateway: count the headers of requests in flight in `in-all`

Callers saw (the same picture, "heads of very many short fields"): requests with 480 short fields each end the process. Lower limits alone keep it alive, but what requests hold is not what `in-all` says.

Cause: `in-all` counted the windows of bodies alone. HTTP/2 counts 32 bytes beside a field's name and value; on the heap a field of one byte takes some four times that.

Mend: a request reserves its windows and an estimate of its headers' objects, 96 bytes a field beside HTTP/2's own count.

Test: LargeHeadersTest.limitsHeapOfManyShortFields, the bound is `in-all`.

--- a/src/main/java/linenring/gateway/HeaderListSize.java
+++ b/src/main/java/linenring/gateway/HeaderListSize.java
@@ -14,6 +14,9 @@
     /** Added to the lengths of a field's name and value (RFC 9113, 6.5.2). */
     private static final int FIELD_OVERHEAD_BYTES = 32;
 
+    /** Heap of a field's objects beyond its size in a header list: the field, two strings and their arrays. */
+    private static final int HEAP_BYTES_PER_FIELD = 96;
+
     private static final int STATUS_FIELD_BYTES = fieldBytes(":status", "200");
 
     private HeaderListSize() {}
@@ -33,6 +36,12 @@
         return bytes;
     }
 
+    /** Returns an upper estimate of the heap that headers take. */
+    static long heapBytes(MetaData headers) {
+        return bytes(headers)
+                + (long) HEAP_BYTES_PER_FIELD * headers.getHttpFields().size();
+    }
+
     private static long pseudoFieldBytes(MetaData headers) {
         if (headers instanceof MetaData.Request request) {
             HttpURI target = request.getHttpURI();
--- a/src/main/java/linenring/gateway/RequestCapacity.java
+++ b/src/main/java/linenring/gateway/RequestCapacity.java
@@ -3,10 +3,10 @@
 import java.util.concurrent.atomic.AtomicInteger;
 
 /**
- * Limits the number of active requests and the total of the flow-control windows of their streams. Thread-safe.
+ * Limits the number of active requests and the total memory of their headers and flow-control windows. Thread-safe.
  *
  * <p>The limits guard against running out of memory when slow hosts or clients make the number of active requests grow
- * without bound. A request reserves its windows before it begins, so that the buffered data always fits into memory.
+ * without bound. A request reserves its memory before it begins, so that the buffered data always fits into memory.
  * Limits below the capacity of the machine cause unnecessary 503 responses.
  */
 final class RequestCapacity {
--- a/src/main/java/linenring/gateway/RequestDispatcher.java
+++ b/src/main/java/linenring/gateway/RequestDispatcher.java
@@ -65,7 +65,10 @@
         return request;
     }
 
-    /** Returns the flow-control windows of a request: one for the response and one for a request body (RFC 9113, 5.2). */
+    /**
+     * Returns the memory that a request may take: its headers and its flow-control windows, one for the response and one for a
+     * request body (RFC 9113, 5.2).
+     */
     private long maxBufferBytes(HeadersFrame headers) {
         long windows = headers.isEndStream() ? 1 : 2;
         return HeaderListSize.heapBytes(headers.getMetaData())
--- a/src/test/java/linenring/gateway/LargeHeadersTest.java
+++ b/src/test/java/linenring/gateway/LargeHeadersTest.java
@@ -5,6 +5,9 @@
 import static org.junit.jupiter.api.Assertions.assertTrue;
 
 import java.io.IOException;
+import java.lang.management.ManagementFactory;
+import java.util.ArrayList;
+import java.util.List;
 import linenring.planner.Commands.RetryPolicy;
 import linenring.testserver.Behaviour;
 import linenring.testserver.Frame;
@@ -25,6 +28,10 @@
     private static final int HEADER_LIMIT_BYTES = 16 << 10;
     private static final int OTHER_FIELDS_BYTES = 400;
     private static final int SMALL_LIMIT_BYTES = 4 << 10;
+    private static final int SHORT_FIELDS = 440;
+    private static final int CLIENTS = 16;
+    private static final int REQUESTS_PER_CLIENT = 100;
+    private static final long MAX_REQUEST_MEMORY_BYTES = 16 << 20;
 
     /** Calls with a request in flight on the only connection to the host, and asserts that this request is not affected. */
     private static void assertRequestInFlightIsAnswered(GatewayFixture fixture, Call call) throws IOException {
@@ -149,4 +156,47 @@
             });
         }
     }
+
+    /**
+     * Clients send requests whose headers have very many short fields, which the host does not answer. A field takes several
+     * times its size in HTTP/2's count. Guards against headers that are not counted in {@code in-all}.
+     */
+    @Test
+    void limitsHeapOfManyShortFields() throws IOException {
+        String settings = "body in-all=\"16MiB\" window=\"16KiB\"\nhosts connections=16 streams=100 waiting=2000";
+        try (GatewayFixture fixture = new GatewayFixture(1, settings)) {
+            fixture.sendTableOfAllHosts(RetryPolicy.NONE);
+            fixture.backends().get(0).onPath("/assign", Reaction.of(Behaviour.HANG));
+            assertEquals(200, fixture.connect().call("GET", "/quote").status());
+            String[] fields = shortFields();
+            List<TestClient> clients = new ArrayList<>();
+            for (int i = 0; i < CLIENTS; i++) {
+                clients.add(fixture.connect());
+            }
+            long usedBefore = usedHeapBytes();
+            for (TestClient client : clients) {
+                for (int request = 0; request < REQUESTS_PER_CLIENT; request++) {
+                    client.send("POST", "/assign", fields);
+                }
+                assertEquals(404, client.call("GET", "/no-route").status()); // all requests before it were received
+            }
+            long usedBytes = usedHeapBytes() - usedBefore;
+            assertTrue(usedBytes < MAX_REQUEST_MEMORY_BYTES, "requests take " + usedBytes + " bytes, more than in-all");
+        }
+    }
+
+    /** Returns pairs of names of two or three bytes and empty values, as many as the limit of headers allows. */
+    private static String[] shortFields() {
+        String[] fields = new String[2 * SHORT_FIELDS];
+        for (int i = 0; i < SHORT_FIELDS; i++) {
+            fields[2 * i] = "x" + Integer.toString(i, Character.MAX_RADIX);
+            fields[2 * i + 1] = "";
+        }
+        return fields;
+    }
+
+    private static long usedHeapBytes() {
+        System.gc();
+        return ManagementFactory.getMemoryMXBean().getHeapMemoryUsage().getUsed();
+    }
 }
