Protocol: no cache of field names, so that messages under ever new names cost no more

Repeated unknown names, types, zones, lanes and hosts do no harm.

Cause: Jackson caches field names for all parsers of a factory. A parser that meets a new name copies the table, and merges it when it is closed; the names are interned besides.

Mend: parsers of messages and of host lists use no cache.

--- a/src/main/java/linenring/protocol/Codec.java
+++ b/src/main/java/linenring/protocol/Codec.java
@@ -2,7 +2,6 @@
 
 import com.fasterxml.jackson.core.JsonFactory;
 import com.fasterxml.jackson.core.JsonParser;
-import com.fasterxml.jackson.core.json.JsonReadFeature;
 import java.io.IOException;
 import java.io.InputStream;
 import java.nio.charset.StandardCharsets;
@@ -21,10 +20,7 @@
 
     /** Creates a codec whose decoded messages refer to zones, kinds and operations by their indices in these names. */
     public Codec(Names names) {
-        // NaN is parsed as a number that fails the range check: one invalid field instead of malformed JSON
-        JsonFactory json = JsonFactory.builder()
-                .enable(JsonReadFeature.ALLOW_NON_NUMERIC_NUMBERS)
-                .build();
+        JsonFactory json = JsonParsers.factoryBuilder().build();
         inboundDecoder = new InboundMessageDecoder(json, names);
         hostListDecoder = new HostListDecoder(names);
         updateEncoder = new ConfigurationUpdateEncoder(json);
--- a/src/main/java/linenring/protocol/HostListDecoder.java
+++ b/src/main/java/linenring/protocol/HostListDecoder.java
@@ -5,7 +5,6 @@
 import com.fasterxml.jackson.core.JsonToken;
 import com.fasterxml.jackson.core.StreamReadConstraints;
 import com.fasterxml.jackson.core.exc.StreamConstraintsException;
-import com.fasterxml.jackson.core.json.JsonReadFeature;
 import java.io.IOException;
 import java.io.InputStream;
 import linenring.protocol.DecodeError.Stage;
@@ -14,8 +13,7 @@
 /** Decodes host lists incrementally from bytes, from a complete line, or from a blocking parser. */
 final class HostListDecoder {
     /** Limits the length of each JSON string to the size limit of an entry, so that one string cannot fill the heap. */
-    private final JsonFactory json = JsonFactory.builder()
-            .enable(JsonReadFeature.ALLOW_NON_NUMERIC_NUMBERS)
+    private final JsonFactory json = JsonParsers.factoryBuilder()
             .streamReadConstraints(StreamReadConstraints.builder()
                     .maxStringLength(HostListReader.MAX_ENTRY_BYTES)
                     .build())
