Gateway: send no waiting request whose client's connection has ended

Cause: Jetty fails the streams of a lost connection one after the other. The first request that ends cancels its stream at the host, the pool gives the free place to the next request in the queue, which does not know yet that its client has left; it is sent, then it ends in its turn.

Mend: when the first stream of a lost connection fails, all its requests leave the queues before any of them ends. A stream that is granted meanwhile is given back unused. The end point tells whether the connection is lost, so a failure of one stream affects no other one.

--- a/src/main/java/linenring/gateway/Attempt.java
+++ b/src/main/java/linenring/gateway/Attempt.java
@@ -75,6 +75,9 @@
             connection = grantedConnection;
             if (hasOutcome) {
                 releaseStream();
+            } else if (Responses.isConnectionLost(request.clientStream())) {
+                releaseStream();
+                request.clientGone();
             } else if (services.nowMs() > sendDeadlineMs) { // the attempt has waited too long for a connection
                 releaseStream();
                 failed(AttemptFailure.neverSent());
@@ -264,6 +267,13 @@
         abandonStream();
     }
 
+    /** Waits for no stream any more; an attempt that has one continues. The request ends next. */
+    void withdraw() {
+        if (connection == null) {
+            upstream.cancel(this);
+        }
+    }
+
     private void abandonStream() {
         if (connection != null) {
             cancelStream();
--- a/src/main/java/linenring/gateway/ProxiedRequest.java
+++ b/src/main/java/linenring/gateway/ProxiedRequest.java
@@ -8,6 +8,8 @@
 import org.eclipse.jetty.http.HttpFields;
 import org.eclipse.jetty.http.HttpStatus;
 import org.eclipse.jetty.http2.ErrorCode;
+import org.eclipse.jetty.http2.HTTP2Stream;
+import org.eclipse.jetty.http2.api.Session;
 import org.eclipse.jetty.http2.api.Stream;
 import org.eclipse.jetty.http2.frames.HeadersFrame;
 import org.eclipse.jetty.http2.frames.ResetFrame;
@@ -49,6 +51,7 @@
     private final InterimResponses interimResponses;
     private Attempt currentAttempt; // null while no attempt is active
     private boolean ended;
+    private volatile boolean isWithdrawn; // the client's connection is lost, and the request waits for no host any more
 
     /** Creates a request that calls {@code onEnd} once, from a serialized task, when it has ended. */
     ProxiedRequest(
@@ -119,10 +122,34 @@
 
     @Override
     public void onFailure(Stream stream, int error, String reason, Throwable failure, Callback callback) {
+        if (!isWithdrawn && Responses.isConnectionLost(stream)) {
+            withdrawAll(stream.getSession());
+        }
         execute(this::clientGone);
         callback.succeeded();
     }
 
+    /**
+     * Takes the requests of a lost connection out of the queues for hosts, before the first of them ends. Jetty ends one after
+     * the other; a request that ends gives its stream to the next one in the queue, whose client has left as well.
+     */
+    private static void withdrawAll(Session session) {
+        for (Stream stream : session.getStreams()) {
+            if (((HTTP2Stream) stream).getListener() instanceof ProxiedRequest request) {
+                request.withdraw();
+            }
+        }
+    }
+
+    private void withdraw() {
+        isWithdrawn = true;
+        execute(() -> {
+            if (currentAttempt != null) {
+                currentAttempt.withdraw();
+            }
+        });
+    }
+
     Stream clientStream() {
         return clientRequest.stream();
     }
--- a/src/main/java/linenring/gateway/Responses.java
+++ b/src/main/java/linenring/gateway/Responses.java
@@ -15,6 +15,7 @@
 import org.eclipse.jetty.http2.frames.HeadersFrame;
 import org.eclipse.jetty.http2.frames.ResetFrame;
 import org.eclipse.jetty.http2.hpack.HpackException;
+import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.Callback;
 
 /** Creates the responses that the gateway sends when no host has responded (RFC 9110, 15; RFC 6585, 4). */
@@ -69,6 +70,15 @@
                         failure -> endAfterFailedWrite(client, failure)));
     }
 
+    /**
+     * Whether the connection of a client's stream is known to be lost: its end, or its reset, has been read. Jetty reports this to
+     * one stream after the other.
+     */
+    static boolean isConnectionLost(Stream client) {
+        EndPoint endPoint = ((HTTP2Session) client.getSession()).getEndPoint();
+        return !endPoint.isOpen() || endPoint.isInputShutdown();
+    }
+
     /** Ends a stream whose last write has failed, unless the client has left. */
     private static void endAfterFailedWrite(Stream client, Throwable failure) {
         closeIfNotEncodable(client, failure);
