Gateway: a request that a client repeats with its key stays with the hosts that know the key

Cause: that a repetition stays within the deduplication scope held for the gateway's own retries; nothing was remembered beyond one request, and a first attempt goes to any host. Evidence: the executions of each key by zone.

Mend: RecentExecutions remembers for the deduplication window which host may have executed a key, the first one if there are several, and not one that is proven not to have. DuplicateGuard restricts the first attempt too. Without a host of the scope the request is answered 503, as a retry would not be made. Keys are kept by hash, on 2% of the heap at most, and the oldest are forgotten first.

--- a/src/main/java/linenring/gateway/Http2Gateway.java
+++ b/src/main/java/linenring/gateway/Http2Gateway.java
@@ -12,6 +12,7 @@
 import linenring.routing.HostRegistry;
 import linenring.routing.LoadStatistics;
 import linenring.routing.OperationPolicy;
+import linenring.routing.RecentExecutions;
 import linenring.routing.RetryBudget;
 import linenring.routing.RetryContext;
 import org.eclipse.jetty.http2.client.HTTP2Client;
@@ -72,7 +73,7 @@
                 new LoadStatistics(settings.proxy(), settings.zone(), hosts, operations.size(), clock.nowMs()),
                 new RequestOutcomes(operations, hosts, (long) settings.clients().maxStallMs(), log));
         shutdown = new GracefulShutdown(settings.maxDrainMs(), clock, transport.scheduler(), log);
-        dispatcher = new RequestDispatcher(settings, limits, services, retryContext(hosts), shutdown, log);
+        dispatcher = new RequestDispatcher(settings, limits, services, retryContext(hosts, limits), shutdown, log);
         subscription = new ControllerSubscription(settings, events, tables, services, transport.threads(), log);
     }
 
@@ -87,12 +88,13 @@
         }
     }
 
-    private RetryContext retryContext(HostRegistry hosts) {
+    private RetryContext retryContext(HostRegistry hosts, MemoryLimits limits) {
         GatewaySettings.Retries retries = settings.retries();
         return new RetryContext(
                 tables,
                 hosts,
                 new RetryBudget(retries.budgetShare(), retries.minRetries(), retries.budgetWindowMs()),
+                new RecentExecutions(limits.maxRememberedKeys()),
                 retries.attemptTimeoutObjectives(),
                 new PerThreadRandom(System.nanoTime()));
     }
--- a/src/main/java/linenring/gateway/MemoryLimits.java
+++ b/src/main/java/linenring/gateway/MemoryLimits.java
@@ -1,6 +1,7 @@
 package linenring.gateway;
 
 import linenring.gateway.settings.GatewaySettings;
+import linenring.routing.RecentExecutions;
 
 /**
  * Limits on what clients can make the gateway hold: those of the settings, lowered where the heap has no space for them. Limits
@@ -9,13 +10,15 @@
  * @param maxConnections        maximum number of client connections
  * @param maxTotalRequestBytes  maximum memory of the headers and flow-control windows of all active requests
  * @param maxTotalRetainedBytes maximum memory of all request bodies that are retained for retries
+ * @param maxRememberedKeys     maximum number of idempotency keys that are remembered for their deduplication window
  */
-record MemoryLimits(int maxConnections, long maxTotalRequestBytes, long maxTotalRetainedBytes) {
-    /** Shares of the heap; the remaining quarter is left for the controller, the host connections and garbage. */
+record MemoryLimits(int maxConnections, long maxTotalRequestBytes, long maxTotalRetainedBytes, int maxRememberedKeys) {
+    /** Shares of the heap; the rest is left for the controller, the host connections and garbage. */
     private static final double REQUESTS_HEAP_SHARE = 0.375;
 
     private static final double RETAINED_BODIES_HEAP_SHARE = 0.125;
     private static final double CONNECTIONS_HEAP_SHARE = 0.25;
+    private static final double REMEMBERED_KEYS_HEAP_SHARE = 0.02;
 
     /** Heap of an idle client connection: session, end point, timers. */
     private static final int IDLE_CONNECTION_BYTES = 8 << 10;
@@ -33,7 +36,10 @@
         return new MemoryLimits(
                 (int) Math.min(settings.clients().maxConnections(), Math.max(1, connections)),
                 Math.min(settings.body().maxTotalWindowBytes(), (long) (heapBytes * REQUESTS_HEAP_SHARE)),
-                Math.min(settings.body().maxTotalRetainedBytes(), (long) (heapBytes * RETAINED_BODIES_HEAP_SHARE)));
+                Math.min(settings.body().maxTotalRetainedBytes(), (long) (heapBytes * RETAINED_BODIES_HEAP_SHARE)),
+                (int) Math.min(
+                        Integer.MAX_VALUE,
+                        (long) (heapBytes * REMEMBERED_KEYS_HEAP_SHARE) / RecentExecutions.BYTES_PER_KEY));
     }
 
     /** Whether one of the limits is lower than the settings say. */
--- a/src/main/java/linenring/gateway/RequestDispatcher.java
+++ b/src/main/java/linenring/gateway/RequestDispatcher.java
@@ -77,10 +77,10 @@
 
     private ProxiedRequest createRequest(Stream stream, HeadersFrame headers, int operation, long bufferBytes) {
         String keyHeader = settings.idempotencyKeyHeader();
-        boolean hasIdempotencyKey =
-                keyHeader != null && headers.getMetaData().getHttpFields().contains(keyHeader);
+        String idempotencyKey =
+                keyHeader == null ? null : headers.getMetaData().getHttpFields().get(keyHeader);
         RetryDecision decision = new RetryDecision(
-                retryContext, operation, settings.operations().get(operation), hasIdempotencyKey, services.nowMs());
+                retryContext, operation, settings.operations().get(operation), idempotencyKey, services.nowMs());
         RetainedBody retainedBody = new RetainedBody(settings.body().maxRetainedBytes(), retainedBodyBudget);
         long maxStallNanos = (long) (settings.clients().maxStallMs() * NANOS_PER_MILLI);
         return new ProxiedRequest(
--- a/src/main/java/linenring/routing/RetryDecision.java
+++ b/src/main/java/linenring/routing/RetryDecision.java
@@ -43,15 +43,15 @@
     private boolean closed;
 
     /**
-     * Creates the decision; {@code hasIdempotencyKey}: the request carries a key by which hosts recognize a duplicate.
+     * Creates the decision; {@code idempotencyKey} is the key by which hosts recognize a duplicate of the request, or null.
      */
     public RetryDecision(
-            RetryContext context, int operation, OperationPolicy policy, boolean hasIdempotencyKey, double nowMs) {
+            RetryContext context, int operation, OperationPolicy policy, String idempotencyKey, double nowMs) {
         this.context = context;
         this.operation = operation;
         this.policy = policy;
         deadlineMs = nowMs + policy.timeoutMs();
-        duplicateGuard = new DuplicateGuard(policy, hasIdempotencyKey, context.hosts());
+        duplicateGuard = new DuplicateGuard(policy, operation, idempotencyKey, context, nowMs);
     }
 
     /** Returns the first step: admits the request and picks a host, or rejects the request. */
@@ -62,7 +62,7 @@
             closed = true;
             return new NextStep.Reject(FailureReason.RATE_LIMITED, retryAfterMs);
         }
-        int firstHost = context.tables().pick(operation, nowMs, context.draw().getAsDouble());
+        int firstHost = pickFirstHost(nowMs);
         if (firstHost == EndpointTables.NONE) {
             closed = true;
             return new NextStep.Reject(FailureReason.NO_HOST, Double.POSITIVE_INFINITY);
@@ -71,6 +71,13 @@
         return send(firstHost, nowMs, isBodyRetained);
     }
 
+    private int pickFirstHost(double nowMs) {
+        double draw = context.draw().getAsDouble();
+        return duplicateGuard.isRestrictedToScope()
+                ? context.tables().pick(operation, nowMs, draw, duplicateGuard::canSendTo)
+                : context.tables().pick(operation, nowMs, draw);
+    }
+
     /** Returns the step after a failed attempt; {@code isBodyRetained}: the complete body can be sent again. */
     public synchronized NextStep attemptFailed(AttemptFailure failure, double nowMs, boolean isBodyRetained) {
         if (closed) {
@@ -125,6 +132,7 @@
         host = nextHost;
         sentAtMs = nowMs;
         triedHosts.set(nextHost);
+        duplicateGuard.recordSent(nextHost, nowMs);
         return new NextStep.Send(nextHost, duplicateGuard.sendDeadlineMs(), attemptDeadlineMs(nowMs, isBodyRetained));
     }
 
@@ -163,6 +171,6 @@
     }
 
     private boolean canRetryAt(int candidateHost) {
-        return !triedHosts.get(candidateHost) && duplicateGuard.canRetryAt(candidateHost);
+        return !triedHosts.get(candidateHost) && duplicateGuard.canSendTo(candidateHost);
     }
 }
--- a/src/test/java/linenring/gateway/DepartedClientsTest.java
+++ b/src/test/java/linenring/gateway/DepartedClientsTest.java
@@ -108,4 +108,35 @@
             assertExecutions(fixture, 1);
         }
     }
+
+    /**
+     * A client leaves while its requests run, and comes again with the same idempotency keys. Guards against a second execution in
+     * another zone, whose hosts do not know the keys of the first one.
+     */
+    @Test
+    void sendsRepeatedRequestsToTheZoneThatMayHaveExecutedThem() throws Exception {
+        try (GatewayFixture fixture = new GatewayFixture(2)) {
+            fixture.backends()
+                    .forEach(backend -> backend.onPath(
+                            "/book", Reaction.of(Behaviour.ANSWER).withDelayMs(300)));
+            TestClient first = fixture.connect();
+            for (int i = 0; i < REQUESTS; i++) {
+                first.send("POST", "/book", "x-mark", "key-" + i);
+            }
+            TestClient.await(this, () -> fixture.executions("/book") == REQUESTS, "all requests run");
+            first.close();
+            TestClient second = fixture.connect();
+            for (int i = 0; i < REQUESTS; i++) {
+                second.send("POST", "/book", "x-mark", "key-" + i);
+            }
+            TestClient.await(this, () -> fixture.executions("/book") == 2 * REQUESTS, "all requests run again");
+            for (int i = 0; i < REQUESTS; i++) {
+                String key = "key-" + i;
+                int inFirstZone = fixture.backends().get(0).executionsOfKey(key);
+                assertTrue(
+                        inFirstZone == 0 || inFirstZone == 2,
+                        key + " ran " + inFirstZone + " times in one zone of two");
+            }
+        }
+    }
 }
--- a/src/test/java/linenring/gateway/MemoryLimitsTest.java
+++ b/src/test/java/linenring/gateway/MemoryLimitsTest.java
@@ -15,7 +15,9 @@
     void keepsLimitsOfSettingsThatFitIntoHeap() {
         GatewaySettings settings = GatewayFixture.settings("body in-all=\"64MiB\"");
         MemoryLimits limits = MemoryLimits.of(settings, 192 * MIB);
-        assertEquals(new MemoryLimits(1024, 64 * MIB, 16 * MIB), limits);
+        assertEquals(1024, limits.maxConnections());
+        assertEquals(64 * MIB, limits.maxTotalRequestBytes());
+        assertEquals(16 * MIB, limits.maxTotalRetainedBytes());
         assertFalse(limits.isBelow(settings));
     }
 
--- a/src/test/java/linenring/routing/RoutingFixture.java
+++ b/src/test/java/linenring/routing/RoutingFixture.java
@@ -23,10 +23,13 @@
     private static final double ATTEMPT_OBJECTIVES = 1.2;
     private static final int FAILURES_TO_EJECT = 3;
     private static final double EJECTION_MS = 5000;
+    private static final int MAX_REMEMBERED_KEYS = 1000;
 
     private final HostRegistry hosts = new HostRegistry();
     private final EndpointTables tables;
     private final Random random = new Random(7);
+    private final RecentExecutions recentExecutions = new RecentExecutions(MAX_REMEMBERED_KEYS);
+    private int keys;
     private RetryBudget budget = new RetryBudget(1, 100, 10_000);
 
     RoutingFixture(int count) {
@@ -113,12 +116,19 @@
         return this;
     }
 
+    /** Returns a request with an idempotency key of its own, or without one. */
     RetryDecision request(OperationPolicy policy, boolean hasIdempotencyKey, double nowMs) {
+        keys++;
+        return request(policy, hasIdempotencyKey ? "key-" + keys : null, nowMs);
+    }
+
+    /** Returns a request with this idempotency key, or without one if it is null. */
+    RetryDecision request(OperationPolicy policy, String idempotencyKey, double nowMs) {
         return new RetryDecision(
-                new RetryContext(tables, hosts, budget, ATTEMPT_OBJECTIVES, random::nextDouble),
+                new RetryContext(tables, hosts, budget, recentExecutions, ATTEMPT_OBJECTIVES, random::nextDouble),
                 ALL_OPERATIONS.indexOf(policy),
                 policy,
-                hasIdempotencyKey,
+                idempotencyKey,
                 nowMs);
     }
 
