Gateway: a failed write resets the stream during a drain too

A session that has sent its final GOAWAY counts as closed in Jetty while its streams go on, so that a write that failed for another reason than a client that has left would have been taken for such a client during a drain. The end point tells whether the connection is lost.

--- a/src/main/java/linenring/gateway/Responses.java
+++ b/src/main/java/linenring/gateway/Responses.java
@@ -100,9 +100,7 @@
 
     /** Whether a write to a client has failed because the client has reset the stream, or the connection has ended. */
     static boolean isClientGone(Stream client, Throwable writeFailure) {
-        return writeFailure instanceof IOException
-                || client.isReset()
-                || client.getSession().isClosed();
+        return writeFailure instanceof IOException || client.isReset() || isConnectionLost(client);
     }
 
     /** Resets a stream (RFC 9113, 6.4). */
