Gateway: operations on streams stand apart from the gateway's own responses

Responses had come to hold resets, checks of connections and the end after failed writes, which serve hosts' streams too. They are in Streams now; isClientGone is isPeerGone there. Nothing else changes.

--- a/src/main/java/linenring/gateway/Attempt.java
+++ b/src/main/java/linenring/gateway/Attempt.java
@@ -75,7 +75,7 @@
             connection = grantedConnection;
             if (hasOutcome) {
                 releaseStream();
-            } else if (Responses.isConnectionLost(request.clientStream())) {
+            } else if (Streams.isConnectionLost(request.clientStream())) {
                 releaseStream();
                 request.clientGone();
             } else if (services.nowMs() > sendDeadlineMs) { // the attempt has waited too long for a connection
@@ -291,7 +291,7 @@
         discardResponse();
         boolean isComplete = responseForwarder.isComplete() && requestBodyForwarder.isEndSent();
         if (stream != null && !stream.isReset() && !stream.isClosed() && !isComplete) {
-            Responses.reset(stream, ErrorCode.CANCEL_STREAM_ERROR);
+            Streams.reset(stream, ErrorCode.CANCEL_STREAM_ERROR);
         }
     }
 
--- a/src/main/java/linenring/gateway/ClientSessionListener.java
+++ b/src/main/java/linenring/gateway/ClientSessionListener.java
@@ -36,7 +36,7 @@
     @Override
     public Stream.Listener onNewStream(Stream stream, HeadersFrame frame) {
         if (!shutdown.acceptStream(stream.getSession(), stream.getId())) {
-            Responses.reset(
+            Streams.reset(
                     stream, ErrorCode.REFUSED_STREAM_ERROR); // tells the client that a retry is safe (RFC 9113, 8.7)
             return null;
         }
--- a/src/main/java/linenring/gateway/ProxiedRequest.java
+++ b/src/main/java/linenring/gateway/ProxiedRequest.java
@@ -122,7 +122,7 @@
 
     @Override
     public void onFailure(Stream stream, int error, String reason, Throwable failure, Callback callback) {
-        if (!isWithdrawn && Responses.isConnectionLost(stream)) {
+        if (!isWithdrawn && Streams.isConnectionLost(stream)) {
             withdrawAll(stream.getSession());
         }
         execute(this::clientGone);
@@ -222,8 +222,8 @@
         if (ended) {
             return;
         }
-        Responses.closeIfNotEncodable(clientStream(), failure);
-        if (Responses.isClientGone(clientStream(), failure)) {
+        Streams.closeIfNotEncodable(clientStream(), failure);
+        if (Streams.isPeerGone(clientStream(), failure)) {
             clientGone();
         } else {
             services.outcomes().clientWriteFailed(operation(), clientStream(), failure);
@@ -235,7 +235,7 @@
     /** Resets the client's stream and ends the request when its response cannot be completed. */
     void abort(ErrorCode code) {
         if (!ended) {
-            Responses.reset(clientStream(), code);
+            Streams.reset(clientStream(), code);
             end();
         }
     }
--- a/src/main/java/linenring/gateway/ResponseForwarder.java
+++ b/src/main/java/linenring/gateway/ResponseForwarder.java
@@ -141,7 +141,7 @@
     private void finish() {
         complete = true;
         if (!request.hasEnded() && !request.body().isFullyRead()) {
-            Responses.reset(clientStream, ErrorCode.NO_ERROR);
+            Streams.reset(clientStream, ErrorCode.NO_ERROR);
         }
         request.end();
     }
--- a/src/main/java/linenring/gateway/Responses.java
+++ b/src/main/java/linenring/gateway/Responses.java
@@ -1,6 +1,5 @@
 package linenring.gateway;
 
-import java.io.IOException;
 import java.util.Locale;
 import linenring.routing.FailureReason;
 import linenring.routing.NextStep;
@@ -10,12 +9,8 @@
 import org.eclipse.jetty.http.HttpVersion;
 import org.eclipse.jetty.http.MetaData;
 import org.eclipse.jetty.http2.ErrorCode;
-import org.eclipse.jetty.http2.HTTP2Session;
 import org.eclipse.jetty.http2.api.Stream;
 import org.eclipse.jetty.http2.frames.HeadersFrame;
-import org.eclipse.jetty.http2.frames.ResetFrame;
-import org.eclipse.jetty.http2.hpack.HpackException;
-import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.Callback;
 
 /** Creates the responses that the gateway sends when no host has responded (RFC 9110, 15; RFC 6585, 4). */
@@ -64,48 +59,10 @@
                 Callback.from(
                         () -> {
                             if (!isRequestRead) {
-                                reset(client, ErrorCode.NO_ERROR);
+                                Streams.reset(client, ErrorCode.NO_ERROR);
                             }
                         },
-                        failure -> endAfterFailedWrite(client, failure)));
-    }
-
-    /**
-     * Whether the connection of a client's stream is known to be lost: its end, or its reset, has been read. Jetty reports this to
-     * one stream after the other.
-     */
-    static boolean isConnectionLost(Stream client) {
-        EndPoint endPoint = ((HTTP2Session) client.getSession()).getEndPoint();
-        return !endPoint.isOpen() || endPoint.isInputShutdown();
-    }
-
-    /** Ends a stream whose last write has failed, unless the client has left. */
-    private static void endAfterFailedWrite(Stream client, Throwable failure) {
-        closeIfNotEncodable(client, failure);
-        if (!isClientGone(client, failure)) {
-            reset(client, ErrorCode.INTERNAL_ERROR);
-        }
-    }
-
-    /**
-     * Closes the client's connection if the write of headers has failed because they cannot be encoded, such as headers that
-     * exceed the client's limit. Jetty then closes the session, reports no event and waits for the client to close the
-     * connection; without this check no request on the connection would get a response.
-     */
-    static void closeIfNotEncodable(Stream client, Throwable failure) {
-        if (failure instanceof HpackException.SessionException) {
-            ((HTTP2Session) client.getSession()).getEndPoint().close();
-        }
-    }
-
-    /** Whether a write to a client has failed because the client has reset the stream, or the connection has ended. */
-    static boolean isClientGone(Stream client, Throwable writeFailure) {
-        return writeFailure instanceof IOException || client.isReset() || isConnectionLost(client);
-    }
-
-    /** Resets a stream (RFC 9113, 6.4). */
-    static void reset(Stream stream, ErrorCode code) {
-        stream.reset(new ResetFrame(stream.getId(), code.code), Callback.NOOP);
+                        failure -> Streams.endAfterFailedWrite(client, failure)));
     }
 
     /** Returns the lower-case name of a constant for log lines. */
