Gateway: send no waiting request of a client whose connection the gateway ends

Callers saw: a client whose connection is ended with GOAWAY for a violation of the protocol has its waiting requests sent to hosts nevertheless, 50 of 50 at a host that accepts one at a time.

Cause: as for lost connections; the end point is still open when Jetty fails the streams, so the check of the end point did not see it.

Mend: the session's state is looked at as well. During a drain, a failure of one stream of a session that both sides have closed may take that session's waiting requests out of the queues; they are answered 504 at their timeout.

Test: DepartedClientsTest.sendsNoWaitingRequestOfClientWhoseConnectionTheGatewayEnds, 50 for 1 before, passes now.

--- a/src/main/java/linenring/gateway/ProxiedRequest.java
+++ b/src/main/java/linenring/gateway/ProxiedRequest.java
@@ -51,7 +51,7 @@
     private final InterimResponses interimResponses;
     private Attempt currentAttempt; // null while no attempt is active
     private boolean ended;
-    private volatile boolean isWithdrawn; // the client's connection is lost, and the request waits for no host any more
+    private volatile boolean isWithdrawn; // the client's connection ends, and the request waits for no host any more
 
     /** Creates a request that calls {@code onEnd} once, from a serialized task, when it has ended. */
     ProxiedRequest(
@@ -122,7 +122,7 @@
 
     @Override
     public void onFailure(Stream stream, int error, String reason, Throwable failure, Callback callback) {
-        if (!isWithdrawn && Streams.isConnectionLost(stream)) {
+        if (!isWithdrawn && Streams.isConnectionEnding(stream)) {
             withdrawAll(stream.getSession());
         }
         execute(this::clientGone);
@@ -130,7 +130,7 @@
     }
 
     /**
-     * Takes the requests of a lost connection out of the queues for hosts, before the first of them ends. Jetty ends one after
+     * Takes the requests of a connection that ends out of the queues for hosts, before the first of them ends. Jetty ends one after
      * the other; a request that ends gives its stream to the next one in the queue, whose client has left as well.
      */
     private static void withdrawAll(Session session) {
--- a/src/main/java/linenring/gateway/Streams.java
+++ b/src/main/java/linenring/gateway/Streams.java
@@ -1,6 +1,7 @@
 package linenring.gateway;
 
 import java.io.IOException;
+import org.eclipse.jetty.http2.CloseState;
 import org.eclipse.jetty.http2.ErrorCode;
 import org.eclipse.jetty.http2.HTTP2Session;
 import org.eclipse.jetty.http2.api.Stream;
@@ -27,6 +28,15 @@
         return !endPoint.isOpen() || endPoint.isInputShutdown();
     }
 
+    /**
+     * Whether a failure of the stream belongs to its whole connection, which is lost, or which Jetty ends because the peer has
+     * violated the protocol.
+     */
+    static boolean isConnectionEnding(Stream stream) {
+        CloseState state = ((HTTP2Session) stream.getSession()).getCloseState();
+        return isConnectionLost(stream) || state == CloseState.CLOSING || state == CloseState.CLOSED;
+    }
+
     /** Whether a write has failed because the peer has reset the stream, or the connection is lost. */
     static boolean isPeerGone(Stream stream, Throwable writeFailure) {
         return writeFailure instanceof IOException || stream.isReset() || isConnectionLost(stream);
--- a/src/test/java/linenring/gateway/DepartedClientsTest.java
+++ b/src/test/java/linenring/gateway/DepartedClientsTest.java
@@ -92,6 +92,21 @@
         }
     }
 
+    /** The gateway ends the connection of a client that violates the protocol. */
+    @Test
+    void sendsNoWaitingRequestOfClientWhoseConnectionTheGatewayEnds() throws Exception {
+        try (GatewayFixture fixture = fixtureWithOneStream()) {
+            try (Socket socket = sendRequests(fixture)) {
+                TestClient.await(
+                        this,
+                        () -> fixture.gateway().activeRequests() == REQUESTS && fixture.executions("/assign") == 1,
+                        "one request runs and the others wait");
+                new FrameConnection(socket).sendWindowUpdate(0, 0);
+                assertExecutions(fixture, 1);
+            }
+        }
+    }
+
     /** The waiting requests of a client that stays are not affected when another client leaves. */
     @Test
     void sendsWaitingRequestsOfOtherClients() throws Exception {
