Gateway: a key that two connections carry at the same time is sent to one group of hosts

Cause: the key is looked up when a request is created and stored when it is sent. The requests of the old connection may be read beside those of the new one, and both found nothing. Evidence: two requests with one key that exist before either is sent go to two zones.

Mend: the key is stored unless it is there, in one step; a request that finds another one there picks its host again.

Test: RecentExecutionsTest.staysInZoneOfRequestThatWasSentMeanwhile failed before (zone 1 for 0), passes now.

--- a/src/main/java/linenring/routing/DuplicateGuard.java
+++ b/src/main/java/linenring/routing/DuplicateGuard.java
@@ -43,15 +43,18 @@
         return policy.idempotence() == Idempotence.FINGERPRINTED && idempotencyKey != null;
     }
 
-    /** Records that an attempt is sent to {@code host}. */
-    void recordSent(int host, double sentAtMs) {
+    /**
+     * Records that an attempt is sent to {@code host} and returns true, or returns false if a request with the same key was sent
+     * meanwhile to a host that does not share its keys; only hosts that share them are safe then.
+     */
+    boolean tryRecordSent(int host, double sentAtMs) {
         if (isRecognizedByKey() && firstPossibleExecution == null) {
-            recentExecutions.remember(
-                    operation,
-                    idempotencyKey,
-                    new RecentExecutions.Execution(host, sentAtMs),
-                    policy.deduplicationWindowMs());
+            RecentExecutions.Execution execution = new RecentExecutions.Execution(host, sentAtMs);
+            RecentExecutions.Execution remembered =
+                    recentExecutions.remember(operation, idempotencyKey, execution, policy.deduplicationWindowMs());
+            firstPossibleExecution = remembered.equals(execution) ? null : remembered;
         }
+        return canSendTo(host);
     }
 
     /** Records a failed attempt that was sent to {@code host} at {@code sentAtMs}. */
--- a/src/main/java/linenring/routing/RecentExecutions.java
+++ b/src/main/java/linenring/routing/RecentExecutions.java
@@ -46,12 +46,20 @@
                 : Optional.of(remembered.execution());
     }
 
-    /** Remembers a possible execution for the deduplication window, which begins when the request is sent. */
-    synchronized void remember(int operation, String key, Execution execution, double windowMs) {
+    /**
+     * Remembers a possible execution for the deduplication window, which begins when the request is sent, unless an earlier one
+     * with this key is remembered. Returns the execution that is remembered then.
+     */
+    synchronized Execution remember(int operation, String key, Execution execution, double windowMs) {
+        Optional<Execution> earlier = find(operation, key, execution.sentAtMs());
+        if (earlier.isPresent()) {
+            return earlier.get();
+        }
         long hash = hash(operation, key);
         rememberedByHash.remove(hash);
         rememberedByHash.put(hash, new Remembered(execution, execution.sentAtMs() + windowMs));
         forgetOldest(execution.sentAtMs());
+        return execution;
     }
 
     /** Forgets an execution that is proven not to have taken place. */
--- a/src/main/java/linenring/routing/RetryDecision.java
+++ b/src/main/java/linenring/routing/RetryDecision.java
@@ -71,7 +71,15 @@
         return send(firstHost, nowMs, isBodyRetained);
     }
 
+    /** Picks the host of the first attempt, again if a request with the same key has been sent since the first pick. */
     private int pickFirstHost(double nowMs) {
+        int firstHost = pickSafeHost(nowMs);
+        return firstHost == EndpointTables.NONE || duplicateGuard.tryRecordSent(firstHost, nowMs)
+                ? firstHost
+                : pickSafeHost(nowMs);
+    }
+
+    private int pickSafeHost(double nowMs) {
         double draw = context.draw().getAsDouble();
         return duplicateGuard.isRestrictedToScope()
                 ? context.tables().pick(operation, nowMs, draw, duplicateGuard::canSendTo)
@@ -90,7 +98,9 @@
         if (canRetry(failure, nowMs, isBodyRetained)) {
             int nextHost =
                     context.tables().pick(operation, nowMs, context.draw().getAsDouble(), this::canRetryAt);
-            if (nextHost != EndpointTables.NONE && context.budget().tryTakeRetry(nowMs)) {
+            if (nextHost != EndpointTables.NONE
+                    && duplicateGuard.tryRecordSent(nextHost, nowMs)
+                    && context.budget().tryTakeRetry(nowMs)) {
                 retries++;
                 return send(nextHost, nowMs, isBodyRetained);
             }
@@ -132,7 +142,6 @@
         host = nextHost;
         sentAtMs = nowMs;
         triedHosts.set(nextHost);
-        duplicateGuard.recordSent(nextHost, nowMs);
         return new NextStep.Send(nextHost, duplicateGuard.sendDeadlineMs(), attemptDeadlineMs(nowMs, isBodyRetained));
     }
 
--- a/src/test/java/linenring/routing/RecentExecutionsTest.java
+++ b/src/test/java/linenring/routing/RecentExecutionsTest.java
@@ -46,6 +46,17 @@
         assertEquals(zone, send(BOOK, "a", lastMs) % 2);
     }
 
+    /** Both requests exist before either is sent, as when two connections are read at the same time. */
+    @Test
+    void staysInZoneOfRequestThatWasSentMeanwhile() {
+        for (int i = 0; i < REPETITIONS; i++) {
+            RetryDecision first = fixture.request(BOOK, "same-" + i, 0);
+            RetryDecision second = fixture.request(BOOK, "same-" + i, 0);
+            int zone = targetHost(first.begin(0, true)) % 2;
+            assertEquals(zone, targetHost(second.begin(1, true)) % 2);
+        }
+    }
+
     @Test
     void picksAnyHostForOtherKeysOperationsAndTimes() {
         send(BOOK, "a", 0);
