Gateway: answer 408 to a client that stops within its body while others lack capacity

Callers saw: with the limits of the process lives, but 800 clients that stop half way through uploads hold all capacity until these time out; another client gets 503 for 9.5 s, where the operation's timeout is 10 s. ClientMemoryTest accepted 503 and so did not show it.

Cause: a request keeps its capacity and its stream to a host however long its client pauses. Related: with free memory, two stopped uploads that hold all streams of a host keep other requests in the queue (504 after 4 s for the uploads).

Mend: StallDetector knows since when the gateway waits for more of a body. While the latest request has found no capacity, or a request waits for a host, those that have waited for 1 s are answered 408 (RFC 9110, 15.5.9). A client that waits for its window is not affected.

--- a/src/main/java/linenring/gateway/Attempt.java
+++ b/src/main/java/linenring/gateway/Attempt.java
@@ -267,7 +267,7 @@
         abandonStream();
     }
 
-    /** Waits for no stream any more; an attempt that has one continues. The request ends next. */
+    /** Leaves the queue for a stream; an attempt that already has a stream continues until its request ends. */
     void withdraw() {
         if (connection == null) {
             upstream.cancel(this);
--- a/src/main/java/linenring/gateway/InterimResponses.java
+++ b/src/main/java/linenring/gateway/InterimResponses.java
@@ -77,6 +77,11 @@
         }
     }
 
+    /** Whether a final response has begun, or waits for interim ones. */
+    boolean hasFinalResponse() {
+        return finalResponse != null;
+    }
+
     /**
      * Runs the task that begins the final response, at once or when the interim responses are written. The client's time for
      * accepting data begins now; the task is dropped if the request ends first.
--- a/src/main/java/linenring/gateway/ProxiedRequest.java
+++ b/src/main/java/linenring/gateway/ProxiedRequest.java
@@ -51,7 +51,7 @@
     private final InterimResponses interimResponses;
     private Attempt currentAttempt; // null while no attempt is active
     private boolean ended;
-    private volatile boolean isWithdrawn; // the client's connection ends, and the request waits for no host any more
+    private volatile boolean isWithdrawn; // the client's connection ends, and the request has left the queue for a host
 
     /** Creates a request that calls {@code onEnd} once, from a serialized task, when it has ended. */
     ProxiedRequest(
@@ -216,7 +216,7 @@
 
     /**
      * Ends the request after a write to the client has failed. Unless the client has left, its stream is reset: otherwise it
-     * would wait for a response that never comes.
+     * would wait for a response that never arrives.
      */
     void clientWriteFailed(Throwable failure) {
         if (ended) {
@@ -298,6 +298,24 @@
         }
     }
 
+    /**
+     * Answers 408 (RFC 9110, 15.5.9) if the client has stopped within the request body and no response has begun; called from any
+     * thread while other requests lack capacity that this one holds.
+     */
+    void endIfBodyStopped(long nowNanos) {
+        if (stallDetector().isBodyStopped(nowNanos)) {
+            execute(() -> {
+                if (!ended
+                        && !interimResponses.hasFinalResponse()
+                        && stallDetector().isBodyStopped(nowNanos)) {
+                    decision.abandon();
+                    services.outcomes().bodyStopped(operation(), clientStream());
+                    sendResponse(HttpStatus.REQUEST_TIMEOUT_408, Responses.emptyBodyFields());
+                }
+            });
+        }
+    }
+
     private void endStalled(StallDetector.Stall stall) {
         if (stall == StallDetector.Stall.CLIENT) {
             services.outcomes().clientStalled(operation(), clientStream());
--- a/src/main/java/linenring/gateway/RequestBodyForwarder.java
+++ b/src/main/java/linenring/gateway/RequestBodyForwarder.java
@@ -91,8 +91,10 @@
     private void sendFromClient() {
         ReceiveBuffer.Chunk chunk = body.read();
         if (chunk == null) {
+            request.stallDetector().bodyWaitStarted(System.nanoTime());
             return; // the body notifies the request when more data arrives
         }
+        request.stallDetector().bodyWaitEnded();
         int length = chunk.bytes().remaining();
         if (chunk.isLast() && body.hasTrailers() && length == 0) {
             sendTrailers();
--- a/src/main/java/linenring/gateway/RequestCapacity.java
+++ b/src/main/java/linenring/gateway/RequestCapacity.java
@@ -13,6 +13,7 @@
     private final int maxActiveRequests;
     private final BufferBudget bufferBudget;
     private final AtomicInteger activeRequests = new AtomicInteger();
+    private volatile boolean isExhausted;
 
     RequestCapacity(int maxActive, long maxBufferBytes) {
         this.maxActiveRequests = maxActive;
@@ -23,11 +24,18 @@
     boolean tryAcquire(long bufferBytes) {
         if (activeRequests.incrementAndGet() > maxActiveRequests || !bufferBudget.tryReserve(bufferBytes)) {
             activeRequests.decrementAndGet();
+            isExhausted = true;
             return false;
         }
+        isExhausted = false;
         return true;
     }
 
+    /** Whether the latest request has found no capacity. */
+    boolean isExhausted() {
+        return isExhausted;
+    }
+
     void release(long bufferBytes) {
         activeRequests.decrementAndGet();
         bufferBudget.release(bufferBytes);
--- a/src/main/java/linenring/gateway/RequestDispatcher.java
+++ b/src/main/java/linenring/gateway/RequestDispatcher.java
@@ -109,10 +109,20 @@
         }
     }
 
-    /** Ends all requests whose responses have stalled; called periodically. */
+    /**
+     * Ends all requests whose responses have stalled, and while other requests lack capacity or wait for a host, those whose
+     * clients have stopped within the body; called periodically.
+     */
     void endStalledRequests() {
         long nowNanos = System.nanoTime();
-        proxiedRequests.forEach(request -> request.endIfStalled(nowNanos));
+        boolean isCapacityNeeded =
+                capacity.isExhausted() || services.upstreams().hasWaiters();
+        for (ProxiedRequest request : proxiedRequests) {
+            request.endIfStalled(nowNanos);
+            if (isCapacityNeeded) {
+                request.endIfBodyStopped(nowNanos);
+            }
+        }
     }
 
     int activeRequests() {
--- a/src/main/java/linenring/gateway/RequestOutcomes.java
+++ b/src/main/java/linenring/gateway/RequestOutcomes.java
@@ -89,6 +89,16 @@
                         + operations.get(operation) + " for " + maxStallMs + " ms; resetting stream " + client.getId());
     }
 
+    /** Counts and logs a request whose client has stopped within its body while other requests lacked capacity. */
+    void bodyStopped(int operation, Stream client) {
+        count(operation, Outcome.TIMED_OUT);
+        log.info(
+                Http2Gateway.CLIENT_LOG_SUBJECT,
+                client.getSession().getRemoteSocketAddress() + " has stopped within the body of a request for "
+                        + operations.get(operation) + " while other requests lack capacity; answering 408 on stream "
+                        + client.getId());
+    }
+
     /** Counts and logs a host's response that broke off before its end. */
     void responseBrokenOff(int operation, int host, AttemptFailure failure) {
         count(operation, Outcome.ERRORED);
--- a/src/main/java/linenring/gateway/Streams.java
+++ b/src/main/java/linenring/gateway/Streams.java
@@ -10,7 +10,7 @@
 import org.eclipse.jetty.io.EndPoint;
 import org.eclipse.jetty.util.Callback;
 
-/** Ends streams of clients and hosts, and tells why a stream has ended. Thread-safe: keeps no state. */
+/** Resets streams of clients and hosts, and finds the cause of their failures. Stateless and therefore thread-safe. */
 final class Streams {
     private Streams() {}
 
--- a/src/main/java/linenring/gateway/UpstreamConnections.java
+++ b/src/main/java/linenring/gateway/UpstreamConnections.java
@@ -203,6 +203,10 @@
         return pool.cancel(waiter);
     }
 
+    synchronized boolean hasWaiters() {
+        return pool.hasWaiters();
+    }
+
     /** Sets whether the host is retired, in which case its connections accept no new streams. */
     void setRetired(boolean isRetired) {
         applyToPool(state -> state.setRetired(isRetired, clock.getAsDouble()));
--- a/src/main/java/linenring/gateway/UpstreamRegistry.java
+++ b/src/main/java/linenring/gateway/UpstreamRegistry.java
@@ -58,6 +58,11 @@
         });
     }
 
+    /** Whether a request waits for a stream to a host. */
+    boolean hasWaiters() {
+        return connectionsByHost.values().stream().anyMatch(UpstreamConnections::hasWaiters);
+    }
+
     void closeIdleConnections() {
         connectionsByHost.values().forEach(UpstreamConnections::closeIdle);
     }
--- a/src/main/java/linenring/routing/ConnectionPool.java
+++ b/src/main/java/linenring/routing/ConnectionPool.java
@@ -194,6 +194,11 @@
         return connections.stream().mapToInt(pooled -> pooled.activeStreams).sum();
     }
 
+    /** Whether a request waits for a stream. */
+    public boolean hasWaiters() {
+        return !waiters.isEmpty();
+    }
+
     /** Whether another connection can be opened; this requires that the dials in progress cannot serve all waiters. */
     private boolean canOpenConnection(double nowMs) {
         long usableConnections =
--- a/src/main/java/linenring/routing/StallDetector.java
+++ b/src/main/java/linenring/routing/StallDetector.java
@@ -1,8 +1,10 @@
 package linenring.routing;
 
+import java.util.concurrent.TimeUnit;
+
 /**
  * Detects a stalled answer: the client does not read the data that was sent to it, or the host sends no more data of an
- * answer that it has started.
+ * answer that it has started. Also detects a request body that its client has stopped to send.
  *
  * <p>The timeout of an attempt no longer applies once its answer has started, so a stalled request would keep its
  * buffers and its place among the active requests forever; the number of active requests would never fall. Each
@@ -12,6 +14,9 @@
 public final class StallDetector {
     private static final long NOT_WAITING = 0;
 
+    /** Pause within a request body that is tolerated while other requests lack capacity; longer than round trips and retransmissions. */
+    private static final long MAX_BODY_PAUSE_NANOS = TimeUnit.SECONDS.toNanos(1);
+
     /** The side that has stalled an answer. */
     public enum Stall {
         /** Neither side has stalled. */
@@ -25,6 +30,7 @@
     private final long maxStallNanos;
     private volatile long clientWriteSinceNanos = NOT_WAITING;
     private volatile long hostWaitSinceNanos = NOT_WAITING;
+    private volatile long bodyWaitSinceNanos = NOT_WAITING;
 
     /** Creates a detector that reports stalls of at least {@code maxStallNanos}. */
     public StallDetector(long maxStallNanos) {
@@ -56,8 +62,27 @@
         hostWaitSinceNanos = NOT_WAITING;
     }
 
+    /** Records that all data of the request body was forwarded and the client has to send more. */
+    public void bodyWaitStarted(long nowNanos) {
+        if (bodyWaitSinceNanos == NOT_WAITING) {
+            bodyWaitSinceNanos = nowNanos;
+        }
+    }
+
+    /** Records that the client has sent more data of the request body, or its end. */
+    public void bodyWaitEnded() {
+        bodyWaitSinceNanos = NOT_WAITING;
+    }
+
+    /** Whether the client has sent nothing of an unfinished request body for too long to keep others waiting. */
+    public boolean isBodyStopped(long nowNanos) {
+        long waitSinceNanos = bodyWaitSinceNanos;
+        return waitSinceNanos != NOT_WAITING && nowNanos - waitSinceNanos >= MAX_BODY_PAUSE_NANOS;
+    }
+
     /** Stops the detection of stalls. */
     public void stop() {
+        bodyWaitSinceNanos = NOT_WAITING;
         clientWriteSinceNanos = NOT_WAITING;
         hostWaitSinceNanos = NOT_WAITING;
     }
--- a/src/test/java/linenring/gateway/ClientMemoryTest.java
+++ b/src/test/java/linenring/gateway/ClientMemoryTest.java
@@ -153,6 +153,31 @@
         assertOtherClientIsAnswered();
     }
 
+    /**
+     * Each client stops half way through large requests, whose hosts have read what was sent. The other client is answered by a
+     * host again before its own requests time out, and then each time.
+     */
+    @Test
+    void answersOthersFromHostsWhileClientsStopWithinBodies() throws Exception {
+        connectClients(frames -> {
+            for (int stream = 1; stream < 8; stream += 2) {
+                frames.sendHeaders(
+                        stream, FrameConnection.requestHead("POST", "/assign/hang", HttpFields.EMPTY), false);
+                frames.sendFrame(Frame.DATA, 0, stream, new byte[MAX_FRAME_BYTES]);
+            }
+        });
+        long startNanos = System.nanoTime();
+        while (other.call("GET", "/quote").status() != 200) {
+            TimeUnit.MILLISECONDS.sleep(CALL_INTERVAL_MS);
+        }
+        long elapsedMs = TimeUnit.NANOSECONDS.toMillis(System.nanoTime() - startNanos);
+        assertTrue(elapsedMs < MAX_ANSWER_MS, "the first answer of a host came after " + elapsedMs + " ms");
+        for (int i = 0; i < OBSERVED_CALLS; i++) {
+            assertEquals(200, other.call("GET", "/quote").status(), gateway::logText);
+            TimeUnit.MILLISECONDS.sleep(CALL_INTERVAL_MS);
+        }
+    }
+
     /** Each client sends requests with very many short header fields, which hosts do not answer. */
     @Test
     void servesOthersWhileClientsSendManyShortFields() throws Exception {
--- a/src/test/java/linenring/gateway/DepartedClientsTest.java
+++ b/src/test/java/linenring/gateway/DepartedClientsTest.java
@@ -123,7 +123,7 @@
     }
 
     /**
-     * A client leaves while its requests run, and comes again with the same idempotency keys. Guards against a second execution in
+     * A client disconnects while its requests run, reconnects and repeats them with the same idempotency keys. Guards against a second execution in
      * another zone, whose hosts do not know the keys of the first one.
      */
     @Test
