Gateway: data that arrives while a retry waits for a host ends the pause of its body

The pause was ended when the next part of a body was read for a host. If a first attempt has failed and the second one waits for a stream, data of the client is received and not read yet, and the client could be answered 408 though it has not stopped. The pause ends now when data arrives.

--- a/src/main/java/linenring/gateway/ProxiedRequest.java
+++ b/src/main/java/linenring/gateway/ProxiedRequest.java
@@ -107,6 +107,7 @@
     public void onDataAvailable(Stream stream) {
         if (body().receive()) {
             execute(() -> {
+                stallDetector().bodyWaitEnded();
                 if (currentAttempt != null) {
                     currentAttempt.forwardRequestBody();
                 }
--- a/src/main/java/linenring/gateway/RequestBodyForwarder.java
+++ b/src/main/java/linenring/gateway/RequestBodyForwarder.java
@@ -94,7 +94,6 @@
             request.stallDetector().bodyWaitStarted(System.nanoTime());
             return; // the body notifies the request when more data arrives
         }
-        request.stallDetector().bodyWaitEnded();
         int length = chunk.bytes().remaining();
         if (chunk.isLast() && body.hasTrailers() && length == 0) {
             sendTrailers();
