TimeoutDuringGrantTest: open the connection only when both requests are in the queue

Cause: it took a request as waiting once it was counted as active, which is before it is queued for a host. If the connection opens in between, the second request is written at once, and 504 is the right answer: the test had not made the case that it is about.

The request without a route is handled after the two on the same connection, so that its answer proves that they are queued. All that was checked is checked as before.

--- a/src/test/java/linenring/gateway/TimeoutDuringGrantTest.java
+++ b/src/test/java/linenring/gateway/TimeoutDuringGrantTest.java
@@ -103,7 +103,8 @@
             TestClient client = fixture.connect();
             int first = client.send("GET", "/quote/first");
             int second = client.send("GET", "/quote/second");
-            client.await(() -> fixture.gateway().activeRequests() == 2, "both requests wait for a stream");
+            client.await(() -> fixture.gateway().activeRequests() == 2, "both requests are active");
+            assertEquals(404, client.call("GET", "/no-route").status()); // the requests before it wait for a stream
             Runnable openConnection = settings.get(WAIT_SECONDS, TimeUnit.SECONDS);
             Thread granting = new Thread(openConnection);
             granting.start();
